--- /dev/null
+++ b/skylarkfold/affinity/__init__.py
@@ -0,0 +1,43 @@
+"""Flows whose packets carry a token of their upstream.
+
+The third form of affinity beside closed and pinned buckets: the first
+packet of a flow is placed and marked with its upstream's token, both ends
+repeat the token in all later packets, and any instance forwards them
+knowing nothing but the list of upstreams. No table, home, replica or pin.
+
+Pure decisions: time is an argument, effects are returned.
+"""
+
+from skylarkfold.affinity._core import AffinityCore
+from skylarkfold.affinity._effect import Drop
+from skylarkfold.affinity._effect import Forward
+from skylarkfold.affinity._effect import Probe
+from skylarkfold.affinity._effect import ProbeOutcome
+from skylarkfold.affinity._effect import Reason
+from skylarkfold.affinity._effect import Record
+from skylarkfold.affinity._effect import Reset
+from skylarkfold.affinity._packet import format_flow
+from skylarkfold.affinity._packet import pack_address
+from skylarkfold.affinity._packet import Packet
+from skylarkfold.affinity._route import Route
+from skylarkfold.affinity._route import RouteTable
+from skylarkfold.affinity._settings import AffinitySettings
+from skylarkfold.affinity._upstream import Upstream
+
+__all__ = [
+    'AffinityCore',
+    'AffinitySettings',
+    'Drop',
+    'Forward',
+    'Packet',
+    'Probe',
+    'ProbeOutcome',
+    'Reason',
+    'Record',
+    'Reset',
+    'Route',
+    'RouteTable',
+    'Upstream',
+    'format_flow',
+    'pack_address',
+]
--- /dev/null
+++ b/skylarkfold/affinity/_core.py
@@ -0,0 +1,346 @@
+"""The decisions on flows whose packets carry a token."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+
+from skylarkfold.affinity import _directory
+from skylarkfold.affinity import _effect
+from skylarkfold.affinity import _flow
+from skylarkfold.affinity import _health
+from skylarkfold.affinity import _packet
+from skylarkfold.affinity import _placement
+from skylarkfold.affinity import _route
+from skylarkfold.affinity import _settings
+from skylarkfold.affinity import _standing
+from skylarkfold.affinity import _upstream
+
+Reason = _effect.Reason
+
+# What a packet may wait for news of its upstream or route, and how many.
+_HELD_SECONDS = 0.4
+_HELD_PACKETS = 512
+
+
+class AffinityCore:
+    """Places new flows, forwards known ones, finds what has failed.
+
+    :param zone: this instance's availability zone.
+    :param settings: the limits.
+    """
+
+    def __init__(
+        self, zone: str, settings: _settings.AffinitySettings
+    ) -> None:
+        self._zone = zone
+        self._settings = settings
+        self._routes = _route.EMPTY
+        self._directory = _directory.Directory(settings)
+        self._flows = _flow.FlowTable(settings.flow_limit)
+        self._health = _health.HealthWatch(
+            zone, settings, self._directory, self._flows
+        )
+        self._openings: collections.deque[tuple[float, _flow.Flow]] = (
+            collections.deque()
+        )
+        self._held: collections.deque[tuple[float, _packet.Packet]] = (
+            collections.deque()
+        )
+        self._has_upstreams = False
+        self._confirmed_at = float('-inf')
+        self._next_rotation = float('-inf')
+        self.counters: collections.Counter[str] = collections.Counter()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether routes and upstreams are known."""
+        return self._has_upstreams and self._routes.version >= 0
+
+    @property
+    def version(self) -> int:
+        """The version of the routes in force; -1 before the first."""
+        return self._routes.version
+
+    @property
+    def directory(self) -> _directory.Directory:
+        """All upstreams that may hold flows."""
+        return self._directory
+
+    def set_routes(
+        self, now: float, routes: _route.RouteTable
+    ) -> list[object]:
+        """Put routes in force.
+
+        :param now: the time in seconds of a monotonic clock.
+        :param routes: the routes; an older version than the one in force
+            is ignored.
+        :returns: effects.
+        """
+        if routes.version <= self._routes.version:
+            return []
+        self._routes = routes
+        details = {'version': routes.version, 'routes': len(routes)}
+        record = _effect.Record('routes', 'in-force', details=details)
+        return [record, *self._release(now)]
+
+    def set_upstreams(
+        self, now: float, present: Iterable[_upstream.Upstream]
+    ) -> list[object]:
+        """Take the list of all upstreams.
+
+        :param now: the time in seconds.
+        :param present: every upstream that has an entry.
+        :returns: effects.
+        """
+        lapsed = self._directory.replace(now, present)
+        self._has_upstreams = True
+        effects: list[object] = []
+        for standing in lapsed:
+            effects += self._health.take_lapse(now, standing)
+        for standing in self._directory:
+            if standing.is_replaced:
+                effects += self._health.end_flows(now, standing)
+        return effects + self._release(now)
+
+    def note_confirmed(self, now: float) -> None:
+        """Note that the routes were the newest a moment ago.
+
+        :param now: when they were.
+        """
+        self._confirmed_at = max(self._confirmed_at, now)
+
+    def take_packet(self, now: float, packet: _packet.Packet) -> list[object]:
+        """Decide on one packet of a caller.
+
+        :param now: the time in seconds.
+        :param packet: the packet.
+        :returns: effects.
+        """
+        if packet.is_first:
+            return self._take_first(now, packet)
+        flow = self._flows.get(packet.flow)
+        if flow is None or packet.token != flow.standing.upstream.token:
+            flow = self._bind(now, packet, flow)
+            if flow is None:
+                return self._take_unknown(now, packet)
+        elif not flow.is_open:
+            self._open(now, flow)
+        if self._routes.get(packet.address) is None and self.is_ready:
+            return self._take_removed(now, packet, flow)
+        return self._carry(now, packet, flow)
+
+    def take_probe(self, now: float, name: str, outcome: str) -> list[object]:
+        """Take the end of a probe.
+
+        :param now: the time in seconds.
+        :param name: the upstream's name.
+        :param outcome: one of :class:`ProbeOutcome`.
+        :returns: effects.
+        """
+        return self._health.take_probe(now, name, outcome)
+
+    def tick(self, now: float) -> list[object]:
+        """Do what is due.
+
+        :param now: the time in seconds; a few dozen times a second.
+        :returns: effects.
+        """
+        if now >= self._next_rotation:
+            self._next_rotation = now + self._routes.idle_seconds / 2
+            self._flows.rotate()
+            self._directory.forget(now)
+        effects = self._repeat_openings(now)
+        effects += self._health.tick(now)
+        self._expire_held(now)
+        return effects
+
+    def _take_first(self, now: float, packet: _packet.Packet) -> list[object]:
+        flow = self._flows.get(packet.flow)
+        if flow is not None and flow.is_open:
+            return self._drop(Reason.REPEATED)
+        route = self._routes.get(packet.address)
+        if route is None:
+            return self._refuse_route(now, packet)
+        tried = () if flow is None else flow.tried
+        standing = self._choose(now, packet.flow, route, tried)
+        if standing is None and flow is not None:
+            # Every upstream has had it: the last one once more.
+            return [_effect.Forward(flow.standing.upstream, packet.data)]
+        if standing is None:
+            return self._refuse(packet, Reason.NO_UPSTREAM)
+        if flow is None:
+            flow = _flow.Flow(packet.flow, standing, now)
+            flow.is_idempotent = route.is_idempotent
+            flow.first = packet.data
+            self._flows.add(flow)
+            return self._send_first(now, flow, standing, Reason.PLACED)
+        self._health.doubt_opening(now, flow)
+        return self._send_first(now, flow, standing, Reason.REPEATED)
+
+    def _choose(
+        self,
+        now: float,
+        key: bytes,
+        route: _route.Route,
+        tried: tuple[str, ...],
+    ) -> _standing.Standing | None:
+        hashed = _placement.hash_flow(key)
+        service = route.choose_service(hashed)
+        if service is None:
+            return None
+        return _placement.choose_upstream(
+            now,
+            self._directory.list_service(service),
+            self._zone,
+            hashed >> 16,
+            tried,
+            self._settings,
+        )
+
+    def _send_first(
+        self,
+        now: float,
+        flow: _flow.Flow,
+        standing: _standing.Standing,
+        reason: str,
+    ) -> list[object]:
+        _flow.count_in(flow, standing)
+        flow.tried = (*flow.tried, standing.upstream.name)
+        due = now + self._settings.open_patience_seconds
+        self._openings.append((due, flow))
+        self.counters[f'open.{reason}'] += 1
+        details = {
+            'version': self._routes.version,
+            'load': standing.load,
+            'health': standing.health,
+            'try': len(flow.tried),
+        }
+        name = standing.upstream.name
+        return [
+            _effect.Record('open', reason, flow.key, name, details),
+            _effect.Forward(standing.upstream, flow.first),
+        ]
+
+    def _repeat_openings(self, now: float) -> list[object]:
+        effects: list[object] = []
+        while self._openings and self._openings[0][0] <= now:
+            _, flow = self._openings.popleft()
+            if flow.is_open or not flow.is_counted:
+                continue
+            effects += self._health.doubt_opening(now, flow)
+            if len(flow.tried) >= self._settings.open_tries:
+                continue
+            route = self._routes.get(flow.key[6:])
+            if route is None:
+                continue
+            standing = self._choose(now, flow.key, route, flow.tried)
+            if standing is not None:
+                effects += self._send_first(
+                    now, flow, standing, Reason.PLACED_AGAIN
+                )
+        return effects
+
+    def _bind(
+        self, now: float, packet: _packet.Packet, flow: _flow.Flow | None
+    ) -> _flow.Flow | None:
+        """Bind a flow to the upstream of its token."""
+        if packet.token == 0:
+            return flow
+        standing = self._directory.find(packet.token)
+        if standing is None:
+            return None
+        if flow is None:
+            flow = _flow.Flow(packet.flow, standing, now)
+            route = self._routes.get(packet.address)
+            flow.is_idempotent = route is not None and route.is_idempotent
+            # Its former instance may have passed on a request.
+            flow.acknowledged = packet.acknowledged
+            flow.is_open = True
+            if not self._flows.add(flow):
+                return flow
+            _flow.count_in(flow, standing)
+            return flow
+        _flow.count_in(flow, standing)
+        self._open(now, flow)
+        return flow
+
+    def _open(self, now: float, flow: _flow.Flow) -> None:
+        flow.is_open = True
+        flow.first = b''
+        self._health.note_heard(now, flow.standing)
+
+    def _carry(
+        self, now: float, packet: _packet.Packet, flow: _flow.Flow
+    ) -> list[object]:
+        flow.seen_at = now
+        standing = flow.standing
+        if standing.health != _standing.Health.GOOD or standing.is_replaced:
+            ended = self._health.end_flow(now, flow, packet)
+            if ended is not None:
+                return ended
+        self._health.take_packet(now, flow, packet)
+        if packet.is_last and not packet.length:
+            _flow.count_out(flow)
+        return [_effect.Forward(standing.upstream, packet.data)]
+
+    def _take_unknown(
+        self, now: float, packet: _packet.Packet
+    ) -> list[object]:
+        if packet.token == 0:
+            return self._drop(Reason.NO_TOKEN)
+        return self._hold(now, packet, Reason.TOKEN_UNKNOWN)
+
+    def _take_removed(
+        self, now: float, packet: _packet.Packet, flow: _flow.Flow
+    ) -> list[object]:
+        self._flows.remove(flow)
+        return self._refuse(packet, Reason.ROUTE_REMOVED)
+
+    def _refuse_route(
+        self, now: float, packet: _packet.Packet
+    ) -> list[object]:
+        if not self.is_ready:
+            return self._hold(now, packet, Reason.ROUTE_UNKNOWN)
+        # A route may be too new for this instance: only fresh knowledge
+        # may say that there is none.
+        age = now - self._confirmed_at
+        if age > self._settings.verdict_seconds:
+            return self._drop(Reason.ROUTE_UNKNOWN)
+        return self._refuse(packet, Reason.NO_ROUTE)
+
+    def _refuse(self, packet: _packet.Packet, reason: str) -> list[object]:
+        self.counters[f'reset.{reason}'] += 1
+        details = {'version': self._routes.version}
+        return [
+            _effect.Record('reset', reason, packet.flow, details=details),
+            _effect.Reset(packet.flow, packet.acknowledged),
+        ]
+
+    def _drop(self, reason: str) -> list[object]:
+        self.counters[f'drop.{reason}'] += 1
+        return [_effect.Drop(reason)]
+
+    def _hold(
+        self, now: float, packet: _packet.Packet, reason: str
+    ) -> list[object]:
+        if len(self._held) >= _HELD_PACKETS:
+            return self._drop(reason)
+        self.counters[f'hold.{reason}'] += 1
+        self._held.append((now + _HELD_SECONDS, packet))
+        return []
+
+    def _release(self, now: float) -> list[object]:
+        if not self.is_ready or not self._held:
+            return []
+        held, self._held = self._held, collections.deque()
+        effects: list[object] = []
+        for until, packet in held:
+            if now <= until:
+                effects += self.take_packet(now, packet)
+        return effects
+
+    def _expire_held(self, now: float) -> None:
+        while self._held and self._held[0][0] < now:
+            self._held.popleft()
+            self.counters['drop.held-too-long'] += 1
--- /dev/null
+++ b/skylarkfold/affinity/_effect.py
@@ -0,0 +1,109 @@
+"""What the decisions ask of their surroundings."""
+
+from __future__ import annotations
+
+from skylarkfold.affinity import _upstream
+
+
+class Reason:
+    """Why a decision fell as it did; the codes of the log lines."""
+
+    PLACED = 'placed'
+    PLACED_AGAIN = 'placed-again'
+    REPEATED = 'repeated'
+    TOKEN = 'token'
+    NO_ROUTE = 'no-route'
+    ROUTE_UNKNOWN = 'route-unknown'
+    ROUTE_REMOVED = 'route-removed'
+    NO_UPSTREAM = 'no-upstream'
+    NO_TOKEN = 'no-token'
+    TOKEN_UNKNOWN = 'token-unknown'
+    OTHER_SERVICE = 'other-service'
+    OUT_OF_REACH = 'out-of-reach'
+    REPLACED = 'replaced'
+
+
+class ProbeOutcome:
+    """How a probe of an upstream ended."""
+
+    ALIVE = 'alive'
+    REFUSED = 'refused'
+    SILENT = 'silent'
+
+
+class Forward:
+    """Send a caller's packet to an upstream."""
+
+    __slots__ = ('data', 'upstream')
+
+    def __init__(self, upstream: _upstream.Upstream, data: bytes) -> None:
+        self.upstream = upstream
+        self.data = data
+
+
+class Reset:
+    """Tell a caller that its flow has ended.
+
+    :param flow: the flow.
+    :param acknowledged: the caller's last acknowledgement.
+    """
+
+    __slots__ = ('acknowledged', 'flow')
+
+    def __init__(self, flow: bytes, acknowledged: int) -> None:
+        self.flow = flow
+        self.acknowledged = acknowledged
+
+
+class Drop:
+    """Give no answer.
+
+    :param reason: counted.
+    """
+
+    __slots__ = ('reason',)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+
+class Probe:
+    """Find out whether an upstream takes connections.
+
+    The end comes back through ``AffinityCore.take_probe``.
+    """
+
+    __slots__ = ('timeout_seconds', 'upstream')
+
+    def __init__(
+        self, upstream: _upstream.Upstream, timeout_seconds: float
+    ) -> None:
+        self.upstream = upstream
+        self.timeout_seconds = timeout_seconds
+
+
+class Record:
+    """Write a log line for a decision.
+
+    :param kind: what was decided: ``open``, ``reset``, ``health`` ...
+    :param reason: one of :class:`Reason`, or a state.
+    :param flow: the flow, empty where there is none.
+    :param upstream: the upstream's name, empty where there is none.
+    :param details: what decided it, by name.
+    """
+
+    __slots__ = ('details', 'flow', 'kind', 'reason', 'upstream')
+
+    def __init__(
+        self,
+        kind: str,
+        reason: str,
+        flow: bytes = b'',
+        upstream: str = '',
+        details: dict[str, object] | None = None,
+    ) -> None:
+        self.kind = kind
+        self.reason = reason
+        self.flow = flow
+        self.upstream = upstream
+        self.details = details or {}
--- /dev/null
+++ b/skylarkfold/affinity/_placement.py
@@ -0,0 +1,117 @@
+"""The choice of an upstream for a new flow."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import xxhash
+
+from skylarkfold.affinity import _settings
+from skylarkfold.affinity import _standing
+
+
+def hash_flow(key: bytes) -> int:
+    """Hash a flow alike on every instance.
+
+    :param key: the packed flow.
+    :returns: 64 bits.
+    """
+    return xxhash.xxh3_64_intdigest(key)
+
+
+def choose_upstream(
+    now: float,
+    standings: Iterable[_standing.Standing],
+    zone: str,
+    hashed: int,
+    tried: tuple[str, ...],
+    settings: _settings.AffinitySettings,
+) -> _standing.Standing | None:
+    """Choose an upstream for a flow's first packet.
+
+    Good ones first, then ones in doubt or full, then ones whose entry has
+    lapsed just now, then ones that were out of reach a while ago. Within
+    these, the least loaded of this zone unless its load is well above the
+    mean, then the least loaded of all.
+
+    :param now: the time.
+    :param standings: the service's upstreams.
+    :param zone: this instance's availability zone.
+    :param hashed: the flow's hash, which decides between equals.
+    :param tried: names of upstreams that got the packet before.
+    :param settings: the limits.
+    :returns: the upstream, None where there is none to try.
+    """
+    ranked: dict[int, list[_standing.Standing]] = {}
+    for each in standings:
+        if each.upstream.name in tried:
+            continue
+        rank = _rank(now, each, settings)
+        if rank is not None:
+            ranked.setdefault(rank, []).append(each)
+    if not ranked:
+        return None
+    best = ranked[min(ranked)]
+    return _choose_by_load(now, best, zone, hashed, settings)
+
+
+def _rank(
+    now: float,
+    standing: _standing.Standing,
+    settings: _settings.AffinitySettings,
+) -> int | None:
+    if standing.is_replaced or not standing.has_token:
+        return None
+    if not standing.takes_new_flows:
+        return _rank_lapsed(now, standing, settings)
+    if standing.health == _standing.Health.OUT_OF_REACH:
+        return None if standing.may_reset(now, settings) else 3
+    is_full = now < standing.full_until
+    if is_full or standing.health == _standing.Health.DOUBTED:
+        return 1
+    return 0
+
+
+def _rank_lapsed(
+    now: float,
+    standing: _standing.Standing,
+    settings: _settings.AffinitySettings,
+) -> int | None:
+    if standing.lapsed_at is None or standing.upstream.is_draining:
+        return None
+    if now - standing.lapsed_at > settings.lapsed_seconds:
+        return None
+    return 2
+
+
+def _choose_by_load(
+    now: float,
+    standings: list[_standing.Standing],
+    zone: str,
+    hashed: int,
+    settings: _settings.AffinitySettings,
+) -> _standing.Standing:
+    flows = sum(each.load for each in standings)
+    capacity = sum(each.compute_capacity(now) for each in standings)
+    # One more flow than the mean is no reason to leave the zone.
+    limit = (1 + settings.near_tolerance) * (flows + 1) / capacity + 1
+    near = [each for each in standings if each.upstream.zone == zone]
+    if near:
+        chosen = _find_least(now, near, hashed)
+        load = (chosen.load + 1) / chosen.compute_capacity(now)
+        if load <= limit:
+            return chosen
+    return _find_least(now, standings, hashed)
+
+
+def _find_least(
+    now: float, standings: list[_standing.Standing], hashed: int
+) -> _standing.Standing:
+    return min(
+        standings,
+        key=lambda each: (
+            (each.load + 1) / each.compute_capacity(now),
+            # Any mixture that differs by flow and upstream will do.
+            (hashed ^ each.upstream.number * 0x9E3779B1) & 0xFFFFFFFF,
+        ),
+    )
--- /dev/null
+++ b/skylarkfold/affinity/_route.py
@@ -0,0 +1,82 @@
+"""Which services the callers' addresses lead to."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+
+class Route:
+    """An address that callers use and the services behind it.
+
+    :param address: the packed address and port.
+    :param shares: the services that new flows go to, each with its weight.
+    :param is_idempotent: whether its requests may run more than once.
+    :param is_urgent: whether its requests go before those of others.
+    """
+
+    __slots__ = ('address', 'is_idempotent', 'is_urgent', 'shares', '_total')
+
+    def __init__(
+        self,
+        address: bytes,
+        shares: Iterable[tuple[str, int]],
+        is_idempotent: bool = False,
+        is_urgent: bool = False,
+    ) -> None:
+        self.address = address
+        self.shares = tuple(each for each in shares if each[1] > 0)
+        self.is_idempotent = is_idempotent
+        self.is_urgent = is_urgent
+        self._total = sum(weight for _, weight in self.shares)
+
+    def choose_service(self, hashed: int) -> str | None:
+        """Choose the service of a new flow.
+
+        :param hashed: the flow's hash, so that every instance chooses
+            the same for all copies of its first packet.
+        :returns: the service's name, None where none has a weight.
+        """
+        if not self._total:
+            return None
+        rest = hashed % self._total
+        for service, weight in self.shares:
+            if rest < weight:
+                return service
+            rest -= weight
+        return None
+
+
+class RouteTable:
+    """All routes of one version of the configuration.
+
+    :param version: the operators' version of it.
+    :param routes: the routes.
+    :param idle_seconds: a flow without a packet for so long may be
+        forgotten.
+    """
+
+    __slots__ = ('_routes', 'idle_seconds', 'version')
+
+    def __init__(
+        self,
+        version: int,
+        routes: Iterable[Route],
+        idle_seconds: float = 15.0,
+    ) -> None:
+        self.version = version
+        self.idle_seconds = idle_seconds
+        self._routes = {each.address: each for each in routes}
+
+    def __len__(self) -> int:
+        return len(self._routes)
+
+    def get(self, address: bytes) -> Route | None:
+        """Find the route of an address.
+
+        :param address: the packed address and port.
+        :returns: the route, None if there is none.
+        """
+        return self._routes.get(address)
+
+
+EMPTY = RouteTable(-1, ())
--- /dev/null
+++ b/skylarkfold/affinity/_settings.py
@@ -0,0 +1,84 @@
+"""Settings of affinity by token."""
+
+from __future__ import annotations
+
+
+class AffinitySettings:
+    """How flows are placed and when an upstream is taken for gone.
+
+    :param open_patience_seconds: a first packet that its upstream has not
+        answered for so long goes to another one as well. An answer takes
+        5 to 11 ms within a region; a caller repeats after 200 ms.
+    :param open_tries: upstreams that one first packet is sent to at most.
+    :param answer_patience_seconds: a request that waits for so long, with
+        nothing heard from its upstream since, has the upstream probed. At
+        a third of the slots in use 99% of answers begin within 75 ms.
+    :param probe_timeout_seconds: how long a probe waits for the
+        connection. It takes 3 ms; a lost packet of it costs a second.
+    :param probe_tries: probes in a row that must fail before an upstream
+        is taken for out of reach: two, so that one lost packet is no
+        verdict (0.06% of pairs at 2.5% loss).
+    :param probe_pause_seconds: the pause between two probes of one
+        upstream that answered or is out of reach.
+    :param verdict_seconds: how long a failed probe allows resets. Longer
+        than the pause, the probe and its time-out together.
+    :param full_seconds: an upstream that answers probes but not first
+        packets is full; it gets no new flow for so long.
+    :param lapsed_seconds: how long an upstream whose entry is gone may
+        still get new flows where its service has no other: entries that
+        lapsed in an outage are back within 2 s.
+    :param flow_seconds: the longest life of a flow; an upstream that is
+        gone is remembered for so long.
+    :param idle_seconds: a flow without a packet for so long is forgotten.
+    :param flow_limit: flows remembered at most; beyond it a new one is
+        forwarded but not watched. 600 instances before 4.9 million flows
+        hold 8,167 each.
+    :param near_tolerance: an upstream in this zone is preferred until its
+        load is above the mean by this share.
+    """
+
+    __slots__ = (
+        'answer_patience_seconds',
+        'flow_limit',
+        'flow_seconds',
+        'full_seconds',
+        'idle_seconds',
+        'lapsed_seconds',
+        'near_tolerance',
+        'open_patience_seconds',
+        'open_tries',
+        'probe_pause_seconds',
+        'probe_timeout_seconds',
+        'probe_tries',
+        'verdict_seconds',
+    )
+
+    def __init__(
+        self,
+        open_patience_seconds: float = 0.040,
+        open_tries: int = 3,
+        answer_patience_seconds: float = 0.100,
+        probe_timeout_seconds: float = 0.060,
+        probe_tries: int = 2,
+        probe_pause_seconds: float = 0.4,
+        verdict_seconds: float = 1.0,
+        full_seconds: float = 0.5,
+        lapsed_seconds: float = 2.5,
+        flow_seconds: float = 60.0,
+        idle_seconds: float = 15.0,
+        flow_limit: int = 32768,
+        near_tolerance: float = 0.5,
+    ) -> None:
+        self.open_patience_seconds = open_patience_seconds
+        self.open_tries = open_tries
+        self.answer_patience_seconds = answer_patience_seconds
+        self.probe_timeout_seconds = probe_timeout_seconds
+        self.probe_tries = probe_tries
+        self.probe_pause_seconds = probe_pause_seconds
+        self.verdict_seconds = verdict_seconds
+        self.full_seconds = full_seconds
+        self.lapsed_seconds = lapsed_seconds
+        self.flow_seconds = flow_seconds
+        self.idle_seconds = idle_seconds
+        self.flow_limit = flow_limit
+        self.near_tolerance = near_tolerance
--- /dev/null
+++ b/skylarkfold/affinity/_standing.py
@@ -0,0 +1,116 @@
+"""What an instance knows of one upstream besides its entry."""
+
+from __future__ import annotations
+
+from skylarkfold.affinity import _settings
+from skylarkfold.affinity import _upstream
+
+_NEVER = float('-inf')
+# An upstream that is still slow from its start counts for so much of its
+# slots: requests take 1.6 times as long then.
+_SLOW_SHARE = 0.6
+
+
+class Health:
+    """How an upstream is seen from this instance."""
+
+    GOOD = 'good'
+    DOUBTED = 'doubted'
+    OUT_OF_REACH = 'out-of-reach'
+
+
+class Standing:
+    """One upstream with its load and health, as seen from here.
+
+    :param upstream: its entry, replaced as it changes.
+    :param now: the time.
+    :ivar flows: flows of it that this instance carries.
+    :ivar remote_flows: flows of it that peers carry.
+    :ivar heard_at: when a packet last proved that it answers.
+    :ivar lapsed_at: when its entry disappeared, None while it is there.
+    :ivar is_replaced: whether another process has its address.
+    :ivar has_token: whether no older upstream has the same token.
+    :ivar health: one of :class:`Health`.
+    :ivar failures: probes in a row that failed.
+    :ivar failed_at: when a probe last got no answer at all.
+    :ivar probe_due: when it may be probed again.
+    :ivar is_probing: whether a probe is under way.
+    :ivar full_until: until when it is taken for full.
+    """
+
+    __slots__ = (
+        'failed_at',
+        'failures',
+        'flows',
+        'full_until',
+        'has_token',
+        'health',
+        'heard_at',
+        'is_probing',
+        'is_replaced',
+        'lapsed_at',
+        'probe_due',
+        'remote_flows',
+        'slow_until',
+        'upstream',
+    )
+
+    def __init__(self, upstream: _upstream.Upstream, now: float) -> None:
+        self.upstream = upstream
+        self.flows = 0
+        self.remote_flows = 0
+        self.heard_at = _NEVER
+        self.lapsed_at: float | None = None
+        self.is_replaced = False
+        self.has_token = True
+        self.health = Health.GOOD
+        self.failures = 0
+        self.failed_at = _NEVER
+        self.probe_due = _NEVER
+        self.is_probing = False
+        self.full_until = _NEVER
+        self.slow_until = now + upstream.slow_seconds
+
+    def compute_capacity(self, now: float) -> float:
+        """Compute how much work it takes relative to others.
+
+        :param now: the time.
+        :returns: its slots, fewer while it is slow from its start.
+        """
+        slots = max(1, self.upstream.slots)
+        if now < self.slow_until:
+            return slots * _SLOW_SHARE
+        return float(slots)
+
+    @property
+    def load(self) -> int:
+        """Flows that it holds, as far as is known here."""
+        return self.flows + self.remote_flows
+
+    @property
+    def takes_new_flows(self) -> bool:
+        """Whether its entry allows new flows."""
+        return (
+            self.lapsed_at is None
+            and self.has_token
+            and not self.upstream.is_draining
+        )
+
+    def may_reset(
+        self, now: float, settings: _settings.AffinitySettings
+    ) -> bool:
+        """Tell whether its flows have ended for all that can be known.
+
+        :param now: the time.
+        :param settings: how long a failed probe counts.
+        :returns: whether another process has its address, or it is out
+            of reach and was found so just now. One that left as planned
+            ends its flows itself, and may still be at it.
+        """
+        if self.is_replaced:
+            return True
+        if self.upstream.is_draining:
+            return False
+        if self.health != Health.OUT_OF_REACH:
+            return False
+        return now - self.failed_at <= settings.verdict_seconds
--- a/skylarkfold/store/_backoff.py
+++ b/skylarkfold/backoff.py
@@ -2,7 +2,42 @@
 
 from __future__ import annotations
 
-import random
+from typing import Protocol
+
+import xxhash
+
+
+class Jitter(Protocol):
+    """A source of pauses that differ, for example ``random.Random``."""
+
+    def uniform(self, least: float, most: float) -> float:
+        """Draw a number from a range."""
+
+
+class HashJitter:
+    """Jitter from a hash; importing ``random`` takes 10 ms of start.
+
+    :param seed: differs between instances.
+    """
+
+    __slots__ = ('_count', '_seed')
+
+    def __init__(self, seed: int) -> None:
+        self._seed = seed
+        self._count = 0
+
+    def uniform(self, least: float, most: float) -> float:
+        """Draw a number from a range.
+
+        :param least: the lowest one.
+        :param most: the highest one.
+        :returns: the number.
+        """
+        self._count += 1
+        drawn = xxhash.xxh32_intdigest(
+            self._count.to_bytes(8, 'big'), seed=self._seed & 0xFFFFFFFF
+        )
+        return least + (most - least) * drawn / 0xFFFFFFFF
 
 
 class Backoff:
@@ -25,7 +60,7 @@
         self,
         first_seconds: float,
         maximum_seconds: float,
-        generator: random.Random,
+        generator: Jitter,
     ) -> None:
         self._first_seconds = first_seconds
         self._maximum_seconds = maximum_seconds
--- a/skylarkfold/distribution/_core.py
+++ b/skylarkfold/distribution/_core.py
@@ -12,7 +12,6 @@
 from skylarkfold.distribution import _packing
 from skylarkfold.distribution import _server
 from skylarkfold.distribution import _settings
-from skylarkfold.distribution import _shelf
 from skylarkfold import effect
 from skylarkfold import errors
 from skylarkfold import event
@@ -20,6 +19,7 @@
 from skylarkfold import member
 from skylarkfold import membership as membership_package
 from skylarkfold import metric
+from skylarkfold import shelf as shelf_module
 from skylarkfold import stored
 
 _NEVER = -1
@@ -45,7 +45,7 @@
     ) -> None:
         self._instance = instance
         self._settings = settings
-        self._shelf = _shelf.Shelf(settings.tombstones)
+        self._shelf = shelf_module.Shelf(settings.tombstones)
         self._feed = _feed.Feed(settings, seed)
         self._fetcher = _fetcher.Fetcher(settings)
         self._comparison = _comparison.Comparison(settings)
--- a/skylarkfold/distribution/_fetcher.py
+++ b/skylarkfold/distribution/_fetcher.py
@@ -6,8 +6,8 @@
 
 from skylarkfold.distribution import _messages
 from skylarkfold.distribution import _settings
-from skylarkfold.distribution import _shelf
 from skylarkfold import effect
+from skylarkfold import shelf as shelf_module
 from skylarkfold import stored
 
 
@@ -70,7 +70,7 @@
         self,
         delta: _messages.Delta,
         objects: Iterable[stored.StoredObject],
-        shelf: _shelf.Shelf,
+        shelf: shelf_module.Shelf,
     ) -> list[stored.StoredObject]:
         """Advance the cursor and find objects that a snapshot lacks.
 
@@ -156,7 +156,7 @@
         ]
 
     def _settle_absent(
-        self, floor: int, shelf: _shelf.Shelf
+        self, floor: int, shelf: shelf_module.Shelf
     ) -> list[stored.StoredObject]:
         absent, self._absent = self._absent, {}
         gone = []
--- a/skylarkfold/distribution/_server.py
+++ b/skylarkfold/distribution/_server.py
@@ -5,9 +5,9 @@
 from skylarkfold.distribution import _messages
 from skylarkfold.distribution import _packing
 from skylarkfold.distribution import _settings
-from skylarkfold.distribution import _shelf
 from skylarkfold import effect
 from skylarkfold import metric
+from skylarkfold import shelf as shelf_module
 from skylarkfold import stored
 
 _ITEM_BYTES = 64
@@ -28,7 +28,7 @@
     def __init__(
         self,
         settings: _settings.DistributionSettings,
-        shelf: _shelf.Shelf,
+        shelf: shelf_module.Shelf,
     ) -> None:
         self._settings = settings
         self._shelf = shelf
--- /dev/null
+++ b/skylarkfold/forwarder/_daemon.py
@@ -0,0 +1,256 @@
+"""The daemon: decisions, sockets, timers and signals."""
+
+from __future__ import annotations
+
+import functools
+import logging
+import signal
+import socket
+
+from skylarkfold import affinity
+from skylarkfold.forwarder import _lines
+from skylarkfold.forwarder import _platform
+from skylarkfold.forwarder import _probe
+from skylarkfold.forwarder import _settings
+from skylarkfold import reactor
+from skylarkfold import relay
+
+# Packets read before timers and other sockets have their turn.
+_BATCH_PACKETS = 64
+_PACKET_BYTES = 2048
+# What may wait in the kernel while this process has no processor: at 4 KB
+# a packet there, a second of 250 packets.
+_RECEIVE_BYTES = 1024 * 1024
+# How often due decisions are made; a fraction of the patience with a
+# first packet.
+_TICK_SECONDS = 0.01
+_FLUSH_SECONDS = 0.1
+_COUNTERS_SECONDS = 10.0
+# A planned stop goes on forwarding until the readiness checks, two a
+# second, have missed twice and the routers have heard of it.
+_LEAVE_SECONDS = 1.6
+# Then until no packet has come for so long.
+_QUIET_SECONDS = 0.4
+# What is left of the grace when a stop ends in any case.
+_GRACE_RESERVE_SECONDS = 1.0
+
+_logger = logging.getLogger(_lines.LOGGER_NAME)
+
+
+class Forwarder:
+    """One instance: feeds its decisions and performs their effects.
+
+    :param settings: its identity, addresses and limits.
+    :param platform: the platform's bytes.
+    :raises OSError: if an address can't be bound.
+    """
+
+    def __init__(
+        self,
+        settings: _settings.ForwarderSettings,
+        platform: _platform.Platform,
+    ) -> None:
+        self._settings = settings
+        self._platform = platform
+        self._lines = _lines.configure(settings.name)
+        self.loop = reactor.Loop()
+        self._affinity = affinity.AffinityCore(
+            settings.zone, settings.affinity
+        )
+        self._relay = relay.RelayCore(settings.relay, _seed(settings.name))
+        self._store = platform.open_store(self.loop)
+        self._packets = _bind_datagrams(settings.packet_address)
+        self._stopping_at: float | None = None
+        self._packet_at = float('-inf')
+        self._was_ready = False
+        self._performers = {
+            affinity.Forward: self._forward,
+            affinity.Reset: self._reset,
+            affinity.Drop: _ignore,
+            affinity.Probe: self._probe,
+            affinity.Record: self._record,
+            relay.CallStore: self._call_store,
+            relay.Changed: self._take_change,
+            relay.Confirmed: self._take_confirmation,
+            relay.Stale: self._note_stale,
+        }
+        self._server = reactor.HttpServer(
+            self.loop, settings.ready_address, self._answer_check
+        )
+
+    def run(self) -> None:
+        """Serve until a planned stop is finished."""
+        loop = self.loop
+        loop.watch(self._packets, reactor.READ, lambda _: self._take_packets())
+        loop.on_signal(signal.SIGTERM, self.stop)
+        loop.on_signal(signal.SIGINT, self.stop)
+        loop.on_signal(signal.SIGHUP, self._reload)
+        loop.call_every(_TICK_SECONDS, self._tick)
+        loop.call_every(_FLUSH_SECONDS, self._flush)
+        loop.call_every(_COUNTERS_SECONDS, self._say_counters)
+        self._log('started', zone=self._settings.zone)
+        self._perform(self._relay.tick(loop.now()))
+        loop.run()
+        self._close()
+
+    def stop(self) -> None:
+        """Begin a planned stop: leave rotation first, then end."""
+        if self._stopping_at is None:
+            self._stopping_at = self.loop.now()
+            self._log('stopping')
+
+    def _reload(self) -> None:
+        self._log('settings', reason='reload-asked-for')
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers' packets should be sent here."""
+        return self._affinity.is_ready and self._stopping_at is None
+
+    def _take_packets(self) -> None:
+        now = self._packet_at = self.loop.now()
+        receive = self._packets.recv
+        decode = self._platform.decode_packet
+        for _ in range(_BATCH_PACKETS):
+            try:
+                data = receive(_PACKET_BYTES)
+            except BlockingIOError:
+                return
+            packet = decode(data)
+            if packet is None:
+                self._affinity.counters['drop.malformed'] += 1
+                continue
+            self._perform(self._affinity.take_packet(now, packet))
+
+    def _perform(self, effects: list[object]) -> None:
+        for wanted in effects:
+            self._performers[type(wanted)](wanted)
+
+    def _forward(self, wanted: affinity.Forward) -> None:
+        upstream = wanted.upstream
+        data = self._platform.encode_forward(upstream, wanted.data)
+        self._send(data, upstream.address)
+
+    def _reset(self, wanted: affinity.Reset) -> None:
+        data, caller = self._platform.encode_reset(
+            wanted.flow, wanted.acknowledged
+        )
+        self._send(data, caller)
+
+    def _send(self, data: bytes, address: tuple[str, int]) -> None:
+        try:
+            self._packets.sendto(data, address)
+        except OSError as error:
+            # A full buffer or an address without a way to it: the packet
+            # is lost, as it may be on any link, and its sender repeats.
+            self._affinity.counters[f'send.{error.errno}'] += 1
+
+    def _probe(self, wanted: affinity.Probe) -> None:
+        _probe.probe(self.loop, wanted, self._take_probe)
+
+    def _take_probe(self, name: str, outcome: str) -> None:
+        now = self.loop.now()
+        self._affinity.counters[f'probe.{outcome}'] += 1
+        self._perform(self._affinity.take_probe(now, name, outcome))
+
+    def _call_store(self, wanted: relay.CallStore) -> None:
+        self._affinity.counters['store.calls'] += 1
+        self._store.call(
+            wanted.call, functools.partial(self._take_answer, wanted.call)
+        )
+
+    def _take_answer(self, call: relay.Call, answer: relay.Answer) -> None:
+        self._affinity.counters[f'store.{answer.status}'] += 1
+        if answer.status != relay.Status.OK:
+            self._log(
+                'store',
+                reason=answer.status,
+                topic=call.topic,
+                level='warning',
+            )
+        now = self.loop.now()
+        self._perform(self._relay.take_answer(now, call, answer))
+
+    def _take_change(self, wanted: relay.Changed) -> None:
+        now = self.loop.now()
+        items = self._relay.list_items(wanted.topic)
+        if wanted.topic == self._platform.routes_topic:
+            routes = self._platform.decode_routes(items)
+            if routes is not None:
+                self._perform(self._affinity.set_routes(now, routes))
+        else:
+            upstreams = self._platform.decode_upstreams(items)
+            self._perform(self._affinity.set_upstreams(now, upstreams))
+        if self.is_ready and not self._was_ready:
+            self._was_ready = True
+            self._log('ready', version=self._affinity.version)
+
+    def _take_confirmation(self, wanted: relay.Confirmed) -> None:
+        if wanted.topic == self._platform.routes_topic:
+            self._affinity.note_confirmed(self.loop.now())
+
+    def _note_stale(self, wanted: relay.Stale) -> None:
+        self._affinity.counters['store.stale'] += 1
+
+    def _tick(self) -> None:
+        now = self.loop.now()
+        self._perform(self._affinity.tick(now))
+        self._perform(self._relay.tick(now))
+        if self._stopping_at is not None:
+            self._check_stop(now)
+
+    def _check_stop(self, now: float) -> None:
+        taken = now - self._stopping_at
+        is_quiet = now - self._packet_at > _QUIET_SECONDS
+        most = self._settings.grace_seconds - _GRACE_RESERVE_SECONDS
+        if (taken > _LEAVE_SECONDS and is_quiet) or taken > most:
+            self.loop.stop()
+
+    def _answer_check(self, _path: str) -> tuple[int, bytes]:
+        return (200, b'') if self.is_ready else (503, b'')
+
+    def _flush(self) -> None:
+        self._lines.flush()
+
+    def _say_counters(self) -> None:
+        counters = dict(sorted(self._affinity.counters.items()))
+        self._log('counters', **counters)
+
+    def _record(self, wanted: affinity.Record) -> None:
+        fields: dict[str, object] = {'reason': wanted.reason}
+        if wanted.flow:
+            fields['flow'] = affinity.format_flow(wanted.flow)
+        if wanted.upstream:
+            fields['upstream'] = wanted.upstream
+        fields.update(wanted.details)
+        _logger.info(wanted.kind, extra={'fields': fields})
+
+    def _log(
+        self, message: str, level: str = 'info', **fields: object
+    ) -> None:
+        number = logging.getLevelNamesMapping()[level.upper()]
+        _logger.log(number, message, extra={'fields': fields})
+
+    def _close(self) -> None:
+        self._store.close()
+        self._server.close()
+        self._packets.close()
+        self._say_counters()
+        self._log('stopped')
+        self._lines.flush()
+
+
+def _bind_datagrams(address: tuple[str, int]) -> socket.socket:
+    packets = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    packets.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BYTES)
+    packets.setblocking(False)
+    packets.bind(address)
+    return packets
+
+
+def _seed(name: str) -> int:
+    return int.from_bytes(name.encode()[-8:], 'big')
+
+
+def _ignore(_wanted: object) -> None:
+    """Perform what needs nothing."""
--- /dev/null
+++ b/skylarkfold/forwarder/_lines.py
@@ -0,0 +1,110 @@
+"""Structured log lines that never hold up the process.
+
+Lines wait in memory and are written only as far as the reader takes them.
+Beyond the limit they are left out and counted, and the count is said in a
+line of its own.
+"""
+
+from __future__ import annotations
+
+import collections
+import json
+import logging
+import os
+import select
+import time
+
+LOGGER_NAME = 'skylarkfold'
+# A pipe that is ready takes this much without blocking (POSIX).
+_PORTION_BYTES = 4096
+# A reader that stands still costs at most about 1 MB.
+_WAITING_LINES = 4096
+
+
+class LineHandler(logging.Handler):
+    """Formats records as JSON objects, one a line.
+
+    :param instance: part of each line.
+    :param descriptor: where lines are written.
+    """
+
+    def __init__(self, instance: str, descriptor: int = 1) -> None:
+        super().__init__()
+        self._instance = instance
+        self._descriptor = descriptor
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._rest = b''
+        self.left_out = 0
+        self._left_out_said = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue a record; its fields are in ``record.fields``."""
+        if len(self._lines) >= _WAITING_LINES:
+            self.left_out += 1
+            return
+        fields = {
+            'time': round(time.time(), 3),
+            'level': record.levelname.lower(),
+            'instance': self._instance,
+            'message': record.getMessage(),
+        }
+        fields.update(getattr(record, 'fields', {}))
+        if record.exc_info:
+            formatter = logging.Formatter()
+            fields['exception'] = formatter.formatException(record.exc_info)
+        self._lines.append(_encode(fields))
+
+    def flush(self) -> None:
+        """Write what the reader takes at once."""
+        self._say_left_out()
+        while self._rest or self._lines:
+            if not self._rest:
+                self._rest = self._lines.popleft()
+            if not self._write():
+                return
+
+    def _write(self) -> bool:
+        _, ready, _ = select.select([], [self._descriptor], [], 0)
+        if not ready:
+            return False
+        try:
+            written = os.write(self._descriptor, self._rest[:_PORTION_BYTES])
+        except OSError:
+            # The reader is gone: there is nobody to tell.
+            self._lines.clear()
+            self._rest = b''
+            return False
+        self._rest = self._rest[written:]
+        return True
+
+    def _say_left_out(self) -> None:
+        count = self.left_out - self._left_out_said
+        if count and len(self._lines) < _WAITING_LINES:
+            self._left_out_said = self.left_out
+            fields = {
+                'time': round(time.time(), 3),
+                'level': 'warning',
+                'instance': self._instance,
+                'message': 'lines left out',
+                'count': count,
+            }
+            self._lines.append(_encode(fields))
+
+
+def _encode(fields: dict[str, object]) -> bytes:
+    text = json.dumps(fields, separators=(',', ':'), default=str)
+    return text.encode() + b'\n'
+
+
+def configure(instance: str) -> LineHandler:
+    """Send the package's log records to standard output.
+
+    :param instance: the instance's name.
+    :returns: the handler, to be flushed now and then.
+    """
+    handler = LineHandler(instance)
+    logger = logging.getLogger(LOGGER_NAME)
+    logger.handlers[:] = [handler]
+    logger.propagate = False
+    logger.setLevel(logging.INFO)
+    return handler
--- /dev/null
+++ b/skylarkfold/forwarder/_probe.py
@@ -0,0 +1,61 @@
+"""Probes of upstreams: do they take a TCP connection?"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from skylarkfold import affinity
+from skylarkfold import reactor
+
+Outcome = affinity.ProbeOutcome
+
+
+def probe(
+    loop: reactor.Loop,
+    wanted: affinity.Probe,
+    finished: Callable[[str, str], object],
+) -> None:
+    """Open a connection and close it again.
+
+    A connection costs the upstream no slot, and shows that its process
+    lives, which a request would not show better.
+
+    :param loop: the event loop.
+    :param wanted: what to probe.
+    :param finished: takes the upstream's name and the outcome, once.
+    """
+    _Attempt(loop, wanted, finished)
+
+
+class _Attempt:
+    __slots__ = ('_finished', '_name', '_stream', '_timer')
+
+    def __init__(
+        self,
+        loop: reactor.Loop,
+        wanted: affinity.Probe,
+        finished: Callable[[str, str], object],
+    ) -> None:
+        self._finished = finished
+        self._name = wanted.upstream.name
+        self._stream = reactor.connect(loop, wanted.upstream.address)
+        self._stream.on_open = self._succeed
+        self._stream.on_close = self._refuse
+        self._timer = loop.call_later(wanted.timeout_seconds, self._give_up)
+
+    def _succeed(self) -> None:
+        self._end(Outcome.ALIVE)
+
+    def _refuse(self, _reason: str) -> None:
+        self._end(Outcome.REFUSED)
+
+    def _give_up(self) -> None:
+        self._end(Outcome.SILENT)
+
+    def _end(self, outcome: str) -> None:
+        finished, self._finished = self._finished, None
+        if finished is None:
+            return
+        self._timer.cancel()
+        self._stream.close()
+        finished(self._name, outcome)
--- /dev/null
+++ b/skylarkfold/forwarder/_settings.py
@@ -0,0 +1,59 @@
+"""What a forwarding instance is told by its surroundings."""
+
+from __future__ import annotations
+
+from skylarkfold import affinity
+from skylarkfold import relay
+
+
+class ForwarderSettings:
+    """An instance's identity, addresses and limits.
+
+    :param name: unique among instances that run at the same time.
+    :param zone: its availability zone.
+    :param packet_address: where it takes callers' packets.
+    :param ready_address: where its readiness is asked for.
+    :param store_address: the platform's store.
+    :param grace_seconds: how long a planned stop may take.
+    :param affinity: limits of placement and health.
+    :param relay: how the store's objects are followed.
+    """
+
+    __slots__ = (
+        'affinity',
+        'grace_seconds',
+        'name',
+        'packet_address',
+        'ready_address',
+        'relay',
+        'store_address',
+        'zone',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        packet_address: tuple[str, int],
+        ready_address: tuple[str, int],
+        store_address: tuple[str, int],
+        grace_seconds: float = 6.0,
+        affinity: affinity.AffinitySettings | None = None,
+        relay: relay.RelaySettings | None = None,
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.packet_address = packet_address
+        self.ready_address = ready_address
+        self.store_address = store_address
+        self.grace_seconds = grace_seconds
+        self.affinity = affinity or _make_affinity()
+        self.relay = relay or _make_relay()
+
+
+def _make_affinity() -> affinity.AffinitySettings:
+    return affinity.AffinitySettings()
+
+
+def _make_relay() -> relay.RelaySettings:
+    return relay.RelaySettings()
--- /dev/null
+++ b/skylarkfold/platform/_adapter.py
@@ -0,0 +1,39 @@
+"""The platform as the forwarding daemon sees it."""
+
+from __future__ import annotations
+
+from skylarkfold.platform import _objects
+from skylarkfold.platform import _packet
+from skylarkfold.platform import _settings
+from skylarkfold.platform import _store
+from skylarkfold import reactor
+
+
+class Adapter:
+    """Translates the platform's bytes; see ``forwarder.Platform``.
+
+    :param settings: the platform's settings file as read.
+    """
+
+    routes_topic = _objects.ROUTES_TOPIC
+    upstreams_topic = _objects.UPSTREAMS_TOPIC
+
+    def __init__(self, settings: _settings.PlatformSettings) -> None:
+        self._settings = settings
+        self.decode_packet = _packet.decode
+        self.encode_forward = _packet.encode_forward
+        self.decode_routes = _objects.decode_routes
+        self.decode_upstreams = _objects.decode_upstreams
+
+    def encode_reset(
+        self, flow: bytes, acknowledged: int
+    ) -> tuple[bytes, tuple[str, int]]:
+        """Make a reset, and tell where its caller takes it."""
+        return _packet.encode_reset(
+            flow, acknowledged, self._settings.caller_port
+        )
+
+    def open_store(self, loop: reactor.Loop) -> _store.StoreClient:
+        """Make a client of the store."""
+        address = self._settings.forwarder.store_address
+        return _store.StoreClient(loop, address)
--- /dev/null
+++ b/skylarkfold/platform/_settings.py
@@ -0,0 +1,121 @@
+"""The platform's settings file."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+
+from skylarkfold import errors
+from skylarkfold import forwarder
+from skylarkfold.platform import _objects
+from skylarkfold import relay
+
+# The environment variable that holds the file's path.
+PATH_VARIABLE = 'SKYLARKFOLD_CONFIG'
+
+
+class PlatformSettings:
+    """What the file says, in the product's terms.
+
+    :param forwarder: what an instance needs of it.
+    :param caller_port: the port at which every caller takes packets.
+    """
+
+    __slots__ = ('caller_port', 'forwarder')
+
+    def __init__(
+        self, forwarder: forwarder.ForwarderSettings, caller_port: int
+    ) -> None:
+        self.forwarder = forwarder
+        self.caller_port = caller_port
+
+
+def find_path() -> str:
+    """Find the settings file.
+
+    :returns: its path.
+    :raises SettingsError: if the environment does not name one.
+    """
+    path = os.environ.get(PATH_VARIABLE, '')
+    if not path:
+        raise errors.SettingsError(f'{PATH_VARIABLE} is not set')
+    return path
+
+
+def read_settings(path: str) -> PlatformSettings:
+    """Read the settings file.
+
+    :param path: the file, in TOML.
+    :returns: the settings.
+    :raises SettingsError: with the place and the reason, if it can't be
+        read or used.
+    """
+    try:
+        with open(path, 'rb') as file:
+            fields = tomllib.load(file)
+    except OSError as error:
+        reason = error.strerror or str(error)
+        raise errors.SettingsUnreadableError(reason, path) from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise errors.SettingsSyntaxError(str(error), path) from None
+    return _convert(_Section(fields, path, '$'))
+
+
+def _convert(fields: _Section) -> PlatformSettings:
+    listen = fields.get_section('listen_addrs')
+    bounds = fields.get_section('bounds')
+    # Callers take packets at the port that this address has.
+    packet_address = listen.get_address('datagram_addr')
+    settings = forwarder.ForwarderSettings(
+        name=fields.get_text('node_name'),
+        zone=fields.get_text('zone'),
+        packet_address=packet_address,
+        ready_address=listen.get_address('ready_addr'),
+        store_address=fields.get_section('platform').get_address('address'),
+        grace_seconds=bounds.get_number('grace_s', 6.0),
+        relay=relay.RelaySettings(topics=_objects.TOPICS),
+    )
+    return PlatformSettings(settings, packet_address[1])
+
+
+class _Section:
+    """A table of the file, with its place for messages."""
+
+    __slots__ = ('_fields', '_path', '_source')
+
+    def __init__(
+        self, fields: dict[str, object], source: str, path: str
+    ) -> None:
+        self._fields = fields
+        self._source = source
+        self._path = path
+
+    def get_section(self, name: str) -> _Section:
+        value = self._fields.get(name)
+        if not isinstance(value, dict):
+            raise self._complain(name, 'a table is wanted')
+        return _Section(value, self._source, f'{self._path}.{name}')
+
+    def get_text(self, name: str) -> str:
+        value = self._fields.get(name)
+        if not isinstance(value, str) or not value:
+            raise self._complain(name, 'a text is wanted')
+        return value
+
+    def get_number(self, name: str, default: float) -> float:
+        value = self._fields.get(name, default)
+        if isinstance(value, bool) or not isinstance(value, (int, float)):
+            raise self._complain(name, 'a number is wanted')
+        if not 0 <= value < 1e9:
+            raise self._complain(name, f'{value} is out of range')
+        return float(value)
+
+    def get_address(self, name: str) -> tuple[str, int]:
+        host, _, port = self.get_text(name).rpartition(':')
+        if not host or not port.isdecimal() or int(port) > 65535:
+            raise self._complain(name, 'host:port is wanted')
+        return (host, int(port))
+
+    def _complain(self, name: str, reason: str) -> errors.SettingsError:
+        place = f'{self._path}.{name}'
+        return errors.SettingsError(reason, self._source, place)
--- /dev/null
+++ b/skylarkfold/reactor/__init__.py
@@ -0,0 +1,29 @@
+"""Sockets, timers and HTTP for processes that must start fast.
+
+The standard library's selectors, without asyncio: importing asyncio and
+uvloop takes about 90 ms of processor time, which on a fifth of a core
+keeps a restarted instance from its packets for almost half a second
+(``skylarkfold measure start``).
+"""
+
+from skylarkfold.reactor._http import HttpClient
+from skylarkfold.reactor._http import HttpServer
+from skylarkfold.reactor._loop import Loop
+from skylarkfold.reactor._loop import READ
+from skylarkfold.reactor._loop import Timer
+from skylarkfold.reactor._loop import WRITE
+from skylarkfold.reactor._stream import connect
+from skylarkfold.reactor._stream import Listener
+from skylarkfold.reactor._stream import Stream
+
+__all__ = [
+    'READ',
+    'WRITE',
+    'HttpClient',
+    'HttpServer',
+    'Listener',
+    'Loop',
+    'Stream',
+    'Timer',
+    'connect',
+]
--- /dev/null
+++ b/skylarkfold/reactor/_loop.py
@@ -0,0 +1,194 @@
+"""The event loop: ready sockets, due timers and signals."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import heapq
+import logging
+import selectors
+import signal
+import socket
+import time
+
+READ = selectors.EVENT_READ
+WRITE = selectors.EVENT_WRITE
+
+_logger = logging.getLogger('skylarkfold')
+
+# Wakes a loop without timers; nothing depends on the value.
+_LONGEST_WAIT_SECONDS = 10.0
+
+
+class Timer:
+    """A call that is due at some time.
+
+    :param due: when, in seconds of the loop's clock.
+    :param callback: what to call; None once it is cancelled.
+    """
+
+    __slots__ = ('callback', 'due')
+
+    def __init__(self, due: float, callback: Callable[[], object]) -> None:
+        self.due = due
+        self.callback: Callable[[], object] | None = callback
+
+    def __lt__(self, other: Timer) -> bool:
+        return self.due < other.due
+
+    def cancel(self) -> None:
+        """Never call it."""
+        self.callback = None
+
+
+class Loop:
+    """Calls back for ready sockets, due timers and signals.
+
+    A callback that raises is logged; the loop goes on, since one event
+    that can't be handled must not end the process.
+
+    :ivar failures: how many callbacks raised.
+    :ivar lag: how late the last due timer was, in seconds: a process
+        that is starved of processor time sees it rise.
+    """
+
+    __slots__ = (
+        '_is_stopped',
+        '_selector',
+        '_signals',
+        '_timers',
+        '_wakeup',
+        'failures',
+        'lag',
+    )
+
+    def __init__(self) -> None:
+        self._selector = selectors.DefaultSelector()
+        self._timers: list[Timer] = []
+        self._signals: dict[int, Callable[[], object]] = {}
+        self._wakeup: tuple[socket.socket, socket.socket] | None = None
+        self._is_stopped = False
+        self.failures = 0
+        self.lag = 0.0
+
+    def now(self) -> float:
+        """Read the clock: seconds that never go back."""
+        return time.monotonic()
+
+    def watch(
+        self, ready: socket.socket, events: int, callback: Callable
+    ) -> None:
+        """Call back when a socket is ready.
+
+        :param ready: the socket; one that is watched already changes its
+            events and its callback.
+        :param events: ``READ``, ``WRITE`` or both.
+        :param callback: takes the events that are ready.
+        """
+        try:
+            self._selector.modify(ready, events, callback)
+        except KeyError:
+            self._selector.register(ready, events, callback)
+
+    def forget(self, ready: socket.socket) -> None:
+        """Stop watching a socket; one that is not watched is ignored."""
+        try:
+            self._selector.unregister(ready)
+        except (KeyError, ValueError):
+            return
+
+    def call_later(
+        self, seconds: float, callback: Callable[[], object]
+    ) -> Timer:
+        """Call back once, after a while.
+
+        :param seconds: the pause.
+        :param callback: what to call.
+        :returns: the timer, to cancel it.
+        """
+        timer = Timer(self.now() + seconds, callback)
+        heapq.heappush(self._timers, timer)
+        return timer
+
+    def call_every(
+        self, seconds: float, callback: Callable[[], object]
+    ) -> None:
+        """Call back again and again.
+
+        :param seconds: the pause between two calls.
+        :param callback: what to call.
+        """
+
+        def repeat() -> None:
+            self.call_later(seconds, repeat)
+            callback()
+
+        self.call_later(seconds, repeat)
+
+    def on_signal(self, number: int, callback: Callable[[], object]) -> None:
+        """Call back from the loop when a signal arrives.
+
+        :param number: the signal.
+        :param callback: what to call.
+        """
+        if self._wakeup is None:
+            self._open_wakeup()
+        self._signals[number] = callback
+        signal.signal(number, _ignore_signal)
+
+    def _open_wakeup(self) -> None:
+        receiver, sender = socket.socketpair()
+        receiver.setblocking(False)
+        sender.setblocking(False)
+        self._wakeup = (receiver, sender)
+        signal.set_wakeup_fd(sender.fileno(), warn_on_full_buffer=False)
+        self.watch(receiver, READ, self._take_signals)
+
+    def _take_signals(self, _events: int) -> None:
+        for number in self._wakeup[0].recv(64):
+            callback = self._signals.get(number)
+            if callback is not None:
+                callback()
+
+    def stop(self) -> None:
+        """End :meth:`run` after the present callback."""
+        self._is_stopped = True
+
+    def run(self) -> None:
+        """Call back until :meth:`stop` is called."""
+        while not self._is_stopped:
+            for key, events in self._selector.select(self._find_wait()):
+                self._call(key.data, events)
+            self._run_timers()
+        self._close()
+
+    def _find_wait(self) -> float:
+        if not self._timers:
+            return _LONGEST_WAIT_SECONDS
+        wait = self._timers[0].due - self.now()
+        return min(max(wait, 0.0), _LONGEST_WAIT_SECONDS)
+
+    def _run_timers(self) -> None:
+        now = self.now()
+        while self._timers and self._timers[0].due <= now:
+            timer = heapq.heappop(self._timers)
+            self.lag = now - timer.due
+            if timer.callback is not None:
+                self._call(timer.callback)
+
+    def _call(self, callback: Callable, *arguments: object) -> None:
+        try:
+            callback(*arguments)
+        except Exception:
+            self.failures += 1
+            _logger.exception('a callback failed')
+
+    def _close(self) -> None:
+        if self._wakeup is not None:
+            signal.set_wakeup_fd(-1)
+            for each in self._wakeup:
+                each.close()
+        self._selector.close()
+
+
+def _ignore_signal(_number: int, _frame: object) -> None:
+    """Leave the signal to the loop, which is woken by its number."""
--- /dev/null
+++ b/skylarkfold/relay/_call.py
@@ -0,0 +1,77 @@
+"""Calls to the platform's store and their answers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from skylarkfold.relay import _item
+
+
+class Call:
+    """Read the objects of a topic.
+
+    :param topic: the topic.
+    :param revision: wait for changes after this revision; None lists all
+        objects.
+    :param after: the last name of the page before, for a listing.
+    :param wait_seconds: how long the store may hold the call.
+    :param timeout_seconds: when to give up waiting.
+    """
+
+    __slots__ = (
+        'after',
+        'revision',
+        'timeout_seconds',
+        'topic',
+        'wait_seconds',
+    )
+
+    def __init__(
+        self,
+        topic: str,
+        revision: int | None,
+        after: str,
+        wait_seconds: float,
+        timeout_seconds: float,
+    ) -> None:
+        self.topic = topic
+        self.revision = revision
+        self.after = after
+        self.wait_seconds = wait_seconds
+        self.timeout_seconds = timeout_seconds
+
+
+class Status:
+    """How a call ended."""
+
+    OK = 'ok'
+    # The changes after the wanted revision are forgotten.
+    FORGOTTEN = 'forgotten'
+    # The store said that it did nothing.
+    REFUSED = 'refused'
+    # No answer came, or none that can be read.
+    UNKNOWN = 'unknown'
+
+
+class Answer:
+    """The store's answer to a call.
+
+    :param status: how it ended.
+    :param items: the objects listed or changed.
+    :param revision: the store's revision at the answer.
+    :param is_truncated: whether a listing goes on after its last name.
+    """
+
+    __slots__ = ('is_truncated', 'items', 'revision', 'status')
+
+    def __init__(
+        self,
+        status: str,
+        items: Iterable[_item.Item] = (),
+        revision: int = 0,
+        is_truncated: bool = False,
+    ) -> None:
+        self.status = status
+        self.items = tuple(items)
+        self.revision = revision
+        self.is_truncated = is_truncated
--- /dev/null
+++ b/skylarkfold/relay/_feed.py
@@ -0,0 +1,159 @@
+"""The stream of one topic's changes from the platform's store."""
+
+from __future__ import annotations
+
+from skylarkfold import backoff
+from skylarkfold.relay import _call
+from skylarkfold.relay import _item
+from skylarkfold.relay import _settings
+
+
+class News:
+    """What calls to the store brought.
+
+    :param items: the objects.
+    :param revision: everything up to this revision is in them or was
+        known before.
+    :param is_listing: whether absent objects are deleted.
+    """
+
+    __slots__ = ('is_listing', 'items', 'revision')
+
+    def __init__(
+        self,
+        items: tuple[_item.Item, ...],
+        revision: int,
+        is_listing: bool,
+    ) -> None:
+        self.items = items
+        self.revision = revision
+        self.is_listing = is_listing
+
+
+class Feed:
+    """One call at a time: a listing in pages, then waiting watches.
+
+    :param topic: the topic.
+    :param settings: the relay's settings.
+    :param jitter: spreads the pauses of this instance.
+    """
+
+    __slots__ = (
+        '_backoff',
+        '_is_calling',
+        '_last_path',
+        '_must_list',
+        '_next_call',
+        '_pages',
+        '_pages_revision',
+        '_settings',
+        '_topic',
+    )
+
+    def __init__(
+        self,
+        topic: str,
+        settings: _settings.RelaySettings,
+        jitter: backoff.Jitter,
+    ) -> None:
+        self._topic = topic
+        self._settings = settings
+        self._backoff = backoff.Backoff(
+            settings.least_backoff_seconds,
+            settings.most_backoff_seconds,
+            jitter,
+        )
+        self._is_calling = False
+        self._must_list = True
+        self._next_call = float('-inf')
+        self._pages: list[_item.Item] = []
+        self._pages_revision = 0
+        self._last_path = ''
+
+    @property
+    def is_calling(self) -> bool:
+        """Whether a call is under way."""
+        return self._is_calling
+
+    def want_listing(self) -> None:
+        """List everything with the next call."""
+        self._must_list = True
+
+    def call(self, now: float, position: int) -> _call.Call | None:
+        """Begin the next call if none is under way.
+
+        :param now: the time.
+        :param position: up to which revision the topic is known here.
+        :returns: the call, None for none.
+        """
+        if self._is_calling or now < self._next_call:
+            return None
+        if now < self._backoff.open_at:
+            return None
+        self._is_calling = True
+        settings = self._settings
+        if self._must_list or position == 0:
+            return _call.Call(
+                self._topic,
+                None,
+                self._last_path,
+                0.0,
+                settings.call_timeout_seconds,
+            )
+        return _call.Call(
+            self._topic,
+            position,
+            '',
+            settings.wait_seconds,
+            settings.wait_seconds + settings.call_timeout_seconds,
+        )
+
+    def take(
+        self, now: float, call: _call.Call, answer: _call.Answer
+    ) -> News | None:
+        """Take the answer to the call under way.
+
+        :param now: the time.
+        :param call: the call.
+        :param answer: its end.
+        :returns: what it brought, None for nothing or only a page.
+        """
+        self._is_calling = False
+        if answer.status != _call.Status.OK:
+            if answer.status == _call.Status.FORGOTTEN:
+                self._must_list = True
+            self._drop_pages()
+            self._backoff.note_failure(now)
+            return None
+        self._backoff.note_success()
+        if call.revision is not None:
+            return self._take_watch(now, call.revision, answer)
+        return self._take_page(answer)
+
+    def _take_watch(
+        self, now: float, since: int, answer: _call.Answer
+    ) -> News | None:
+        if answer.revision < since:
+            # A store that answers with less than was asked for lags.
+            self._backoff.note_failure(now)
+            return None
+        if answer.items:
+            self._next_call = now + self._settings.gather_seconds
+        return News(answer.items, answer.revision, False)
+
+    def _take_page(self, answer: _call.Answer) -> News | None:
+        if not self._last_path:
+            # Changes during the listing are watched for from its begin.
+            self._pages_revision = answer.revision
+        self._pages += answer.items
+        if answer.is_truncated and answer.items:
+            self._last_path = answer.items[-1].path
+            return None
+        news = News(tuple(self._pages), self._pages_revision, True)
+        self._drop_pages()
+        self._must_list = False
+        return news
+
+    def _drop_pages(self) -> None:
+        self._pages = []
+        self._last_path = ''
--- /dev/null
+++ b/skylarkfold/relay/_item.py
@@ -0,0 +1,30 @@
+"""Objects of the platform's store as the relay passes them on."""
+
+from __future__ import annotations
+
+
+class Item:
+    """One object in one form.
+
+    :param path: its name within its topic.
+    :param revision: the store's revision at which it was written.
+    :param created: the store's revision at which it was created.
+    :param value: what it holds; None once it is deleted.
+    """
+
+    __slots__ = ('created', 'path', 'revision', 'value')
+
+    def __init__(
+        self,
+        path: str,
+        revision: int,
+        created: int,
+        value: dict[str, object] | None,
+    ) -> None:
+        self.path = path
+        self.revision = revision
+        self.created = created
+        self.value = value
+
+    def __repr__(self) -> str:
+        return f'Item({self.path!r}, {self.revision}, {self.value!r})'
--- a/skylarkfold/distribution/_shelf.py
+++ b/skylarkfold/shelf.py
@@ -4,9 +4,12 @@
 
 from collections.abc import Iterable
 
+import typing
+
 import xxhash
 
-from skylarkfold import stored
+if typing.TYPE_CHECKING:
+    from skylarkfold import stored
 
 
 class Shelf:
--- a/skylarkfold/store/__init__.py
+++ b/skylarkfold/store/__init__.py
@@ -1,7 +1,7 @@
 """The platform client: budget, back-off, lost answers, older data."""
 
-from skylarkfold.store._backoff import Backoff
-from skylarkfold.store._budget import CallBudget
+from skylarkfold.backoff import Backoff
+from skylarkfold.budget import CallBudget
 from skylarkfold.store._core import FIRST_CALL
 from skylarkfold.store._core import StoreCore
 from skylarkfold.store._judgement import Finding
--- a/skylarkfold/store/_core.py
+++ b/skylarkfold/store/_core.py
@@ -6,12 +6,12 @@
 import functools
 import random
 
+from skylarkfold import backoff
+from skylarkfold import budget as budget_module
 from skylarkfold import effect
 from skylarkfold import event
 from skylarkfold import instance as instance_module
 from skylarkfold import metric
-from skylarkfold.store import _backoff
-from skylarkfold.store import _budget
 from skylarkfold.store import _judgement
 from skylarkfold.store import _pending
 from skylarkfold.store import _settings
@@ -46,13 +46,13 @@
     ) -> None:
         generator = random.Random(f'{instance.name}/{seed}')
         self._settings = settings
-        self._writes = _budget.CallBudget(
+        self._writes = budget_module.CallBudget(
             settings.writes_per_second, settings.burst_calls
         )
-        self._reads = _budget.CallBudget(
+        self._reads = budget_module.CallBudget(
             settings.reads_per_second, settings.burst_calls
         )
-        self._backoff = _backoff.Backoff(
+        self._backoff = backoff.Backoff(
             settings.retry_seconds, settings.maximum_retry_seconds, generator
         )
         self._queues: dict[str, collections.deque[_pending.PendingWrite]] = {}
--- /dev/null
+++ b/skylarkfold/tests/platform/test_objects.py
@@ -0,0 +1,171 @@
+"""Tests of the store's objects, with any shape."""
+
+import copy
+import json
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from skylarkfold import affinity
+from skylarkfold.platform import _objects
+from skylarkfold.platform import _store
+from skylarkfold import relay
+
+CONFIGURATION = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': '198.18.0.1',
+            'path_prefix': '/8443/',
+            'type': 'idempotent',
+            'priority': 0,
+            'traffic_split': [
+                {'service': 'archebu', 'weight': 90},
+                {'service': 'tocyn', 'weight': 10},
+            ],
+        },
+        {
+            'name': 'r-2',
+            'host': '198.18.0.2',
+            'path_prefix': '/8080/',
+            'type': 'non_idempotent',
+            'priority': 1,
+            'service': 'tocyn',
+        },
+    ],
+    'services': [],
+    'limits': {'idle_timeout_ms': 15000},
+}
+ENTRY = {
+    'service': 'archebu',
+    'address': '10.128.0.9:8080',
+    'zone': 'caerdydd',
+    'version': 'v1',
+    'max_concurrency': 3,
+    'state': 'ready',
+    'warmup_left_ms': 2000,
+    'sequence': 4,
+}
+ODD = strategies.sampled_from(
+    [None, '', 0, -1, 2**70, 1e400, 'x', [], {}, True, [1], {'a': 1}, '/']
+)
+
+
+def build_item(value, path='main'):
+    return relay.Item(path, 5, 3, value)
+
+
+def change(draw_value, value, place):
+    """Put an odd value at the place that a list of numbers leads to."""
+    value = copy.deepcopy(value)
+    container = value
+    for number in place:
+        keys = list(
+            container if isinstance(container, dict) else range(len(container))
+        )
+        if not keys:
+            break
+        key = keys[number % len(keys)]
+        if not isinstance(container[key], (dict, list)):
+            container[key] = draw_value
+            return value
+        container = container[key]
+    return value
+
+
+class ObjectsTest(testtools.TestCase):
+    def test_routes_are_read(self):
+        routes = _objects.decode_routes([build_item(CONFIGURATION)])
+        self.assertEqual(7, routes.version)
+        self.assertEqual(15.0, routes.idle_seconds)
+        route = routes.get(affinity.pack_address('198.18.0.1', 8443))
+        self.assertEqual((('archebu', 90), ('tocyn', 10)), route.shares)
+        self.assertTrue(route.is_idempotent)
+        self.assertTrue(route.is_urgent)
+        other = routes.get(affinity.pack_address('198.18.0.2', 8080))
+        self.assertFalse(other.is_idempotent)
+
+    def test_an_entry_is_read(self):
+        (upstream,) = _objects.decode_upstreams(
+            [build_item(ENTRY, 'i-007f3a91c2')]
+        )
+        self.assertEqual(0x7F3A91C2, upstream.number)
+        self.assertEqual(('10.128.0.9', 8080), upstream.address)
+        self.assertEqual(3, upstream.slots)
+        self.assertEqual(2.0, upstream.slow_seconds)
+        self.assertFalse(upstream.is_draining)
+
+    def test_one_unusable_entry_does_not_hide_the_others(self):
+        found = _objects.decode_upstreams(
+            [build_item({}, 'i-1'), build_item(ENTRY, 'i-2')]
+        )
+        self.assertEqual(['i-2'], [each.name for each in found])
+
+    @hypothesis.given(
+        ODD, strategies.lists(strategies.integers(0, 9), min_size=4)
+    )
+    def test_odd_objects_are_left_out(self, odd, place):
+        _objects.decode_routes([build_item(change(odd, CONFIGURATION, place))])
+        _objects.decode_upstreams(
+            [build_item(change(odd, ENTRY, place), 'i-1')]
+        )
+        _objects.decode_routes([build_item(odd)])
+        _objects.decode_upstreams([build_item(odd, 'i-1')])
+
+
+class AnswerTest(testtools.TestCase):
+    def decode(self, body, status=200):
+        call = relay.Call('kind', None, '', 0.0, 1.0)
+        return _store._decode(call, status, body)
+
+    def test_a_page_is_read(self):
+        meta = {'name': 'i-1', 'rev': 5, 'create_rev': 3}
+        body = {
+            'items': [{'meta': meta, 'spec': ENTRY, 'status': None}],
+            'truncated': True,
+            'current_rev': 9,
+        }
+        answer = self.decode(json.dumps(body).encode())
+        self.assertEqual(relay.Status.OK, answer.status)
+        self.assertEqual(9, answer.revision)
+        self.assertTrue(answer.is_truncated)
+        self.assertEqual('i-1', answer.items[0].path)
+        self.assertEqual(3, answer.items[0].created)
+
+    def test_a_deletion_is_read(self):
+        meta = {'name': 'i-1', 'rev': 5, 'create_rev': 3}
+        event = {'object': {'meta': meta, 'spec': ENTRY}, 'deleted': True}
+        body = {'events': [event], 'current_rev': 9}
+        answer = self.decode(json.dumps(body).encode())
+        self.assertIsNone(answer.items[0].value)
+
+    def test_statuses_are_told_apart(self):
+        statuses = {
+            status: self.decode(b'', status).status
+            for status in (0, 410, 429, 503, 500)
+        }
+        self.assertEqual(
+            {
+                0: relay.Status.UNKNOWN,
+                410: relay.Status.FORGOTTEN,
+                429: relay.Status.REFUSED,
+                503: relay.Status.REFUSED,
+                500: relay.Status.UNKNOWN,
+            },
+            statuses,
+        )
+
+    @hypothesis.given(
+        strategies.binary(max_size=40)
+        | ODD.map(
+            lambda value: json.dumps(
+                {'items': [value], 'truncated': 0, 'current_rev': value},
+                allow_nan=True,
+            ).encode()
+        )
+    )
+    def test_nonsense_is_no_answer(self, body):
+        answer = self.decode(body)
+        self.assertIn(answer.status, (relay.Status.UNKNOWN, relay.Status.OK))
