--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -9,6 +9,7 @@
 from skylarkfold.affinity import _effect
 from skylarkfold.affinity import _flow
 from skylarkfold.affinity import _health
+from skylarkfold.affinity import _load
 from skylarkfold.affinity import _packet
 from skylarkfold.affinity import _placement
 from skylarkfold.affinity import _route
@@ -41,6 +42,7 @@
         self._health = _health.HealthWatch(
             zone, settings, self._directory, self._flows
         )
+        self._peer_loads = _load.PeerLoads(settings, self._directory)
         self._openings: collections.deque[tuple[float, _flow.Flow]] = (
             collections.deque()
         )
@@ -94,6 +96,7 @@
         :returns: effects.
         """
         lapsed = self._directory.replace(now, present)
+        self._peer_loads.apply()
         self._has_upstreams = True
         effects: list[object] = []
         for standing in lapsed:
@@ -110,6 +113,28 @@
         """
         self._confirmed_at = max(self._confirmed_at, now)
 
+    def take_load(
+        self, now: float, source: str, flows: dict[int, int]
+    ) -> None:
+        """Take what others carry.
+
+        :param now: the time.
+        :param source: who they are; a later word replaces an earlier one.
+        :param flows: by token of their upstream.
+        """
+        self._peer_loads.take(now, source, flows)
+
+    def list_flows(self) -> dict[int, int]:
+        """List what this instance carries, for its peers.
+
+        :returns: flows by token of their upstream.
+        """
+        return {
+            standing.upstream.token: standing.flows
+            for standing in self._directory
+            if standing.flows > 0
+        }
+
     def take_packet(self, now: float, packet: _packet.Packet) -> list[object]:
         """Decide on one packet of a caller.
 
@@ -150,6 +175,7 @@
             self._next_rotation = now + self._routes.idle_seconds / 2
             self._flows.rotate()
             self._directory.forget(now)
+        self._peer_loads.expire(now)
         effects = self._repeat_openings(now)
         effects += self._health.tick(now)
         self._expire_held(now)
--- a/skylarkfold/affinity/_settings.py
+++ b/skylarkfold/affinity/_settings.py
@@ -33,6 +33,8 @@
     :param flow_limit: flows remembered at most; beyond it a new one is
         forwarded but not watched. 600 instances before 4.9 million flows
         hold 8,167 each.
+    :param load_seconds: how long what a peer said of its flows counts; it
+        says so several times a second.
     :param near_tolerance: an upstream in this zone is preferred until its
         load is above the mean by this share.
     """
@@ -44,6 +46,7 @@
         'full_seconds',
         'idle_seconds',
         'lapsed_seconds',
+        'load_seconds',
         'near_tolerance',
         'open_patience_seconds',
         'open_tries',
@@ -67,6 +70,7 @@
         flow_seconds: float = 60.0,
         idle_seconds: float = 15.0,
         flow_limit: int = 32768,
+        load_seconds: float = 2.5,
         near_tolerance: float = 0.5,
     ) -> None:
         self.open_patience_seconds = open_patience_seconds
@@ -81,4 +85,5 @@
         self.flow_seconds = flow_seconds
         self.idle_seconds = idle_seconds
         self.flow_limit = flow_limit
+        self.load_seconds = load_seconds
         self.near_tolerance = near_tolerance
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -9,6 +9,7 @@
 
 from skylarkfold import affinity
 from skylarkfold.forwarder import _lines
+from skylarkfold.forwarder import _peers
 from skylarkfold.forwarder import _platform
 from skylarkfold.forwarder import _probe
 from skylarkfold.forwarder import _settings
@@ -57,7 +58,16 @@
         self._affinity = affinity.AffinityCore(
             settings.zone, settings.affinity
         )
-        self._relay = relay.RelayCore(settings.relay, _seed(settings.name))
+        self._relay = relay.RelayCore(
+            settings.name,
+            settings.zone,
+            settings.peer_address[0],
+            settings.relay,
+        )
+        self._relay.set_seeds(settings.seeds)
+        self._peers = _peers.PeerSockets(
+            self.loop, settings.peer_address, self
+        )
         self._store = platform.open_store(self.loop)
         self._packets = _bind_datagrams(settings.packet_address)
         self._stopping_at: float | None = None
@@ -71,8 +81,10 @@
             affinity.Record: self._record,
             relay.CallStore: self._call_store,
             relay.Changed: self._take_change,
-            relay.Confirmed: self._take_confirmation,
-            relay.Stale: self._note_stale,
+            relay.Fetch: self._peers.fetch,
+            relay.Note: self._note,
+            relay.TakeLoad: self._take_load,
+            relay.SendBeacon: self._peers.send,
         }
         self._server = reactor.HttpServer(
             self.loop, settings.ready_address, self._answer_check
@@ -98,6 +110,7 @@
         if self._stopping_at is None:
             self._stopping_at = self.loop.now()
             self._log('stopping')
+            self._perform(self._relay.leave(self._stopping_at))
 
     def _reload(self) -> None:
         self._log('settings', reason='reload-asked-for')
@@ -185,17 +198,55 @@
             self._was_ready = True
             self._log('ready', version=self._affinity.version)
 
-    def _take_confirmation(self, wanted: relay.Confirmed) -> None:
-        if wanted.topic == self._platform.routes_topic:
-            self._affinity.note_confirmed(self.loop.now())
+    def take_beacon(self, host: str, beacon: relay.Beacon) -> None:
+        """Take a peer's beacon.
+
+        :param host: where it came from.
+        :param beacon: the beacon.
+        """
+        now = self.loop.now()
+        self._perform(self._relay.take_beacon(now, host, beacon))
+
+    def take_fetch(self, topic: int, position: int) -> relay.Page | None:
+        """Answer a peer that lacks something.
+
+        :param topic: the topic's number.
+        :param position: the peer's position.
+        :returns: the page, None for none.
+        """
+        return self._relay.take_fetch(self.loop.now(), topic, position)
+
+    def take_page(self, fetch: relay.Fetch, page: relay.Page | None) -> None:
+        """Take the end of a fetch.
 
-    def _note_stale(self, wanted: relay.Stale) -> None:
-        self._affinity.counters['store.stale'] += 1
+        :param fetch: what was asked.
+        :param page: the answer, None for none.
+        """
+        self._perform(self._relay.take_page(self.loop.now(), fetch, page))
+
+    def count(self, name: str) -> None:
+        """Count an event.
+
+        :param name: the counter.
+        """
+        self._affinity.counters[name] += 1
+
+    def _take_load(self, wanted: relay.TakeLoad) -> None:
+        now = self.loop.now()
+        self._affinity.take_load(now, wanted.source, wanted.flows)
+
+    def _note(self, wanted: relay.Note) -> None:
+        self.count(f'relay.{wanted.reason}')
+        self._log('relay', reason=wanted.reason, **wanted.details)
 
     def _tick(self) -> None:
         now = self.loop.now()
         self._perform(self._affinity.tick(now))
+        self._relay.set_load(self._affinity.list_flows())
         self._perform(self._relay.tick(now))
+        age = self._relay.compute_age(now, self._platform.routes_topic)
+        if age is not None:
+            self._affinity.note_confirmed(now - age)
         if self._stopping_at is not None:
             self._check_stop(now)
 
@@ -233,6 +284,7 @@
 
     def _close(self) -> None:
         self._store.close()
+        self._peers.close()
         self._server.close()
         self._packets.close()
         self._say_counters()
@@ -248,9 +300,5 @@
     return packets
 
 
-def _seed(name: str) -> int:
-    return int.from_bytes(name.encode()[-8:], 'big')
-
-
 def _ignore(_wanted: object) -> None:
     """Perform what needs nothing."""
--- a/skylarkfold/forwarder/_settings.py
+++ b/skylarkfold/forwarder/_settings.py
@@ -13,6 +13,9 @@
     :param zone: its availability zone.
     :param packet_address: where it takes callers' packets.
     :param ready_address: where its readiness is asked for.
+    :param peer_address: where it takes beacons and fetches; the port is
+        the same on all instances.
+    :param seeds: hosts where other instances may be found.
     :param store_address: the platform's store.
     :param grace_seconds: how long a planned stop may take.
     :param affinity: limits of placement and health.
@@ -24,8 +27,10 @@
         'grace_seconds',
         'name',
         'packet_address',
+        'peer_address',
         'ready_address',
         'relay',
+        'seeds',
         'store_address',
         'zone',
     )
@@ -36,7 +41,9 @@
         zone: str,
         packet_address: tuple[str, int],
         ready_address: tuple[str, int],
+        peer_address: tuple[str, int],
         store_address: tuple[str, int],
+        seeds: tuple[str, ...] = (),
         grace_seconds: float = 6.0,
         affinity: affinity.AffinitySettings | None = None,
         relay: relay.RelaySettings | None = None,
@@ -45,6 +52,8 @@
         self.zone = zone
         self.packet_address = packet_address
         self.ready_address = ready_address
+        self.peer_address = peer_address
+        self.seeds = seeds
         self.store_address = store_address
         self.grace_seconds = grace_seconds
         self.affinity = affinity or _make_affinity()
--- a/skylarkfold/member.py
+++ b/skylarkfold/member.py
@@ -56,6 +56,16 @@
     state: MemberState = MemberState.ALIVE
     revision: int = 0
 
+    @property
+    def is_reachable(self) -> bool:
+        """Tell whether messages to it are worth sending."""
+        return self.state.is_reachable
+
+    @property
+    def may_own(self) -> bool:
+        """Tell whether it may be given new state to hold."""
+        return self.state.may_own
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Membership:
--- a/skylarkfold/membership/__init__.py
+++ b/skylarkfold/membership/__init__.py
@@ -7,9 +7,9 @@
 from skylarkfold.membership._messages import Introduction
 from skylarkfold.membership._messages import MESSAGES
 from skylarkfold.membership._messages import Rumor
-from skylarkfold.membership._overlay import list_neighbours
-from skylarkfold.membership._overlay import rank_in_zone
 from skylarkfold.membership._settings import MembershipSettings
+from skylarkfold.overlay import list_neighbours
+from skylarkfold.overlay import rank_in_zone
 
 __all__ = [
     'FIRST_CALL',
--- a/skylarkfold/membership/_core.py
+++ b/skylarkfold/membership/_core.py
@@ -22,7 +22,6 @@
 from skylarkfold.membership import _listing
 from skylarkfold.membership import _messages
 from skylarkfold.membership import _outlook
-from skylarkfold.membership import _overlay
 from skylarkfold.membership import _probes
 from skylarkfold.membership import _progress
 from skylarkfold.membership import _roster
@@ -30,6 +29,7 @@
 from skylarkfold.membership import _view
 from skylarkfold.membership import _zones
 from skylarkfold import metric
+from skylarkfold import overlay
 
 # After a rumor the next ones wait for a tick, so that many changes at once
 # (a whole fleet that starts) go in few messages.
@@ -397,11 +397,11 @@
         return [_decision.record(self._own.name, 'woken'), *introductions]
 
     def _is_reader(self, now: float) -> bool:
-        is_first = self._outlook.rank < _overlay.READERS
+        is_first = self._outlook.rank < overlay.READERS
         return is_first or self._detector.is_isolated(now)
 
     def _reconnect(self, now: float) -> list[object]:
-        is_delegate = self._outlook.rank < _overlay.DELEGATES
+        is_delegate = self._outlook.rank < overlay.DELEGATES
         if not is_delegate and not self._detector.is_isolated(now):
             return []
         lost = self._approach.reconnect(self._outlook)
--- a/skylarkfold/membership/_outlook.py
+++ b/skylarkfold/membership/_outlook.py
@@ -9,8 +9,8 @@
 from skylarkfold.membership import _decision
 from skylarkfold.membership import _identity
 from skylarkfold.membership import _learning
-from skylarkfold.membership import _overlay
 from skylarkfold.membership import _view
+from skylarkfold import overlay
 
 _State = member.MemberState
 
@@ -81,5 +81,5 @@
 
     def _place(self) -> None:
         name = self._own.name
-        self.neighbours = _overlay.list_neighbours(self.membership, name)
-        self.rank = _overlay.rank_in_zone(self.membership, name)
+        self.neighbours = overlay.list_neighbours(self.membership, name)
+        self.rank = overlay.rank_in_zone(self.membership, name)
--- a/skylarkfold/membership/_probes.py
+++ b/skylarkfold/membership/_probes.py
@@ -9,9 +9,9 @@
 from skylarkfold.membership import _detector
 from skylarkfold.membership import _identity
 from skylarkfold.membership import _messages
-from skylarkfold.membership import _overlay
 from skylarkfold.membership import _roster
 from skylarkfold.membership import _settings
+from skylarkfold import overlay
 
 _HELPERS = 3
 
@@ -52,7 +52,7 @@
         :param membership: all members.
         :param neighbours: this instance's own neighbours.
         """
-        watchers = _overlay.list_neighbours(membership, target)
+        watchers = overlay.list_neighbours(membership, target)
         helpers = [name for name in watchers if name != self._own.name]
         helpers += [
             name
--- a/skylarkfold/membership/_overlay.py
+++ b/skylarkfold/overlay.py
@@ -9,12 +9,34 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import functools
 import heapq
+from typing import Protocol
 
 import xxhash
 
-from skylarkfold import member
+
+class Place(Protocol):
+    """An instance as the overlay sees it.
+
+    :ivar name: its name.
+    :ivar zone: its availability zone.
+    :ivar is_reachable: whether messages to it are worth sending.
+    :ivar may_own: whether it may be given duties.
+    """
+
+    name: str
+    zone: str
+    is_reachable: bool
+    may_own: bool
+
+
+class Places(Protocol):
+    """All instances, by name."""
+
+    members: Mapping[str, Place]
+
 
 MESH_LIMIT = 12
 RINGS = 2
@@ -24,20 +46,21 @@
 
 
 def list_neighbours(
-    membership: member.Membership, name: str
+    membership: Places, name: str, mesh_limit: int = MESH_LIMIT
 ) -> tuple[str, ...]:
     """List the instances that an instance exchanges heartbeats with.
 
     :param membership: all members.
     :param name: the instance.
+    :param mesh_limit: up to so many instances are a mesh.
     :returns: names in a fixed order, without the instance itself.
     """
     reachable = [
         each
         for each in membership.members.values()
-        if each.state.is_reachable or each.name == name
+        if each.is_reachable or each.name == name
     ]
-    if len(reachable) <= MESH_LIMIT:
+    if len(reachable) <= mesh_limit:
         return tuple(sorted(_list_others(reachable, name)))
     own = membership.members.get(name)
     if own is None:
@@ -49,7 +72,7 @@
     return tuple(sorted(links))
 
 
-def rank_in_zone(membership: member.Membership, name: str) -> int:
+def rank_in_zone(membership: Places, name: str) -> int:
     """Rank an instance among its zone's, for duties that few have.
 
     :param membership: all members.
@@ -64,7 +87,7 @@
     return ranked.index(name) if name in ranked else len(ranked)
 
 
-def rank_zone(members: Iterable[member.Member], zone: str) -> list[str]:
+def rank_zone(members: Iterable[Place], zone: str) -> list[str]:
     """Order a zone's instances for duties that few have.
 
     :param members: any members.
@@ -72,14 +95,12 @@
     :returns: the names of those that may own state.
     """
     names = [
-        each.name
-        for each in members
-        if each.zone == zone and each.state.may_own
+        each.name for each in members if each.zone == zone and each.may_own
     ]
     return sorted(names, key=_hash_rank)
 
 
-def _list_others(members: Iterable[member.Member], name: str) -> Iterable[str]:
+def _list_others(members: Iterable[Place], name: str) -> Iterable[str]:
     return (each.name for each in members if each.name != name)
 
 
@@ -91,9 +112,7 @@
         yield order[(place + 1) % len(order)]
 
 
-def _list_counterparts(
-    members: list[member.Member], own: member.Member
-) -> Iterable[str]:
+def _list_counterparts(members: list[Place], own: Place) -> Iterable[str]:
     ours = rank_zone(members, own.zone)[:DELEGATES]
     if own.name not in ours:
         return
@@ -108,11 +127,11 @@
         yield from _list_reverse(theirs, len(ours), place)
 
 
-def _rank_zones(members: list[member.Member]) -> dict[str, list[str]]:
+def _rank_zones(members: list[Place]) -> dict[str, list[str]]:
     names: dict[str, list[str]] = {}
     for each in members:
         owners = names.setdefault(each.zone, [])
-        if each.state.may_own:
+        if each.may_own:
             owners.append(each.name)
     return {
         zone: heapq.nsmallest(DELEGATES, owners, key=_hash_rank)
--- a/skylarkfold/platform/_settings.py
+++ b/skylarkfold/platform/_settings.py
@@ -12,6 +12,7 @@
 
 # The environment variable that holds the file's path.
 PATH_VARIABLE = 'SKYLARKFOLD_CONFIG'
+_MAXIMUM_PORT = 65535
 
 
 class PlatformSettings:
@@ -71,6 +72,8 @@
         zone=fields.get_text('zone'),
         packet_address=packet_address,
         ready_address=listen.get_address('ready_addr'),
+        peer_address=(fields.get_text('ip'), fields.get_port()),
+        seeds=fields.get_hosts('seeds'),
         store_address=fields.get_section('platform').get_address('address'),
         grace_seconds=bounds.get_number('grace_s', 6.0),
         relay=relay.RelaySettings(topics=_objects.TOPICS),
@@ -112,10 +115,27 @@
 
     def get_address(self, name: str) -> tuple[str, int]:
         host, _, port = self.get_text(name).rpartition(':')
-        if not host or not port.isdecimal() or int(port) > 65535:
+        if not host or not port.isdecimal() or int(port) > _MAXIMUM_PORT:
             raise self._complain(name, 'host:port is wanted')
         return (host, int(port))
 
+    def get_port(self) -> int:
+        """Read the first of the ports that are free between instances."""
+        ports = self._fields.get('internal_ports')
+        is_range = isinstance(ports, list) and len(ports) == 2
+        if not is_range or not all(type(each) is int for each in ports):
+            raise self._complain('internal_ports', 'two ports are wanted')
+        if not 0 < ports[0] <= ports[1] <= _MAXIMUM_PORT:
+            raise self._complain('internal_ports', 'out of range')
+        return ports[0]
+
+    def get_hosts(self, name: str) -> tuple[str, ...]:
+        """Read a list of addresses, of which only the hosts count."""
+        values = self._fields.get(name, [])
+        if not isinstance(values, list):
+            raise self._complain(name, 'a list is wanted')
+        return tuple(str(each).rpartition(':')[0] for each in values)
+
     def _complain(self, name: str, reason: str) -> errors.SettingsError:
         place = f'{self._path}.{name}'
         return errors.SettingsError(reason, self._source, place)
--- a/skylarkfold/relay/__init__.py
+++ b/skylarkfold/relay/__init__.py
@@ -1,4 +1,9 @@
-"""What the platform's store holds, kept up to date on every instance."""
+"""What the platform's store holds, kept up to date on every instance.
+
+Pure decisions: time is an argument, effects are returned. The shape for
+instances that must start fast; ``distribution`` and ``membership`` serve
+fleets whose instances hold state for each other.
+"""
 
 from skylarkfold.relay._call import Answer
 from skylarkfold.relay._call import Call
@@ -6,20 +11,42 @@
 from skylarkfold.relay._core import RelayCore
 from skylarkfold.relay._effect import CallStore
 from skylarkfold.relay._effect import Changed
-from skylarkfold.relay._effect import Confirmed
-from skylarkfold.relay._effect import Stale
+from skylarkfold.relay._effect import Fetch
+from skylarkfold.relay._effect import Note
+from skylarkfold.relay._effect import SendBeacon
+from skylarkfold.relay._effect import TakeLoad
 from skylarkfold.relay._item import Item
+from skylarkfold.relay._messages import Beacon
+from skylarkfold.relay._messages import decode_beacon
+from skylarkfold.relay._messages import decode_fetch
+from skylarkfold.relay._messages import decode_page
+from skylarkfold.relay._messages import encode_beacon
+from skylarkfold.relay._messages import encode_fetch
+from skylarkfold.relay._messages import encode_page
+from skylarkfold.relay._messages import Page
+from skylarkfold.relay._messages import Position
 from skylarkfold.relay._settings import RelaySettings
 
 __all__ = [
     'Answer',
+    'Beacon',
     'Call',
     'CallStore',
     'Changed',
-    'Confirmed',
+    'Fetch',
     'Item',
+    'Note',
+    'Page',
+    'TakeLoad',
+    'Position',
     'RelayCore',
     'RelaySettings',
-    'Stale',
+    'SendBeacon',
     'Status',
+    'decode_beacon',
+    'decode_fetch',
+    'decode_page',
+    'encode_beacon',
+    'encode_fetch',
+    'encode_page',
 ]
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -7,46 +7,80 @@
 from skylarkfold.relay import _effect
 from skylarkfold.relay import _feed
 from skylarkfold.relay import _item
+from skylarkfold.relay import _messages
+from skylarkfold.relay import _peers
 from skylarkfold.relay import _settings
-from skylarkfold import shelf
+from skylarkfold.relay import _topic
 
-
-class _Topic:
-    """One kind of objects as known here."""
-
-    __slots__ = ('confirmed_at', 'feed', 'is_complete', 'shelf')
-
-    def __init__(self, feed: _feed.Feed, tombstones: int) -> None:
-        self.feed = feed
-        self.shelf = shelf.Shelf(tombstones)
-        self.is_complete = False
-        self.confirmed_at = float('-inf')
+_NEVER = float('-inf')
 
 
 class RelayCore:
     """Keeps this instance's objects at the store's newest.
 
+    Few instances of each zone watch the store; all tell their neighbours
+    how far they are, and whoever is behind asks one that is ahead.
+
+    :param name: this instance's name.
+    :param zone: its availability zone.
+    :param host: its address.
     :param settings: the relay's settings.
-    :param seed: spreads this instance's timers against the others'.
     """
 
-    def __init__(self, settings: _settings.RelaySettings, seed: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        host: str,
+        settings: _settings.RelaySettings,
+    ) -> None:
         self._settings = settings
-        jitter = backoff.HashJitter(seed)
-        self._topics = {
-            name: _Topic(
-                _feed.Feed(name, settings, jitter), settings.tombstones
+        self._own = _peers.Peer(name, zone, host)
+        self._peers = _peers.PeerTable(self._own, settings)
+        jitter = backoff.HashJitter(sum(name.encode()))
+        self._topics = [
+            _topic.Topic(
+                topic,
+                number,
+                _feed.Feed(topic, settings, jitter),
+                settings.tombstones,
             )
-            for name in settings.topics
-        }
+            for number, topic in enumerate(settings.topics)
+        ]
+        self._by_name = {topic.name: topic for topic in self._topics}
+        # Loads of other zones with the time of each.
+        self._zone_loads: dict[str, tuple[float, dict[int, int]]] = {}
+        self._started_at: float | None = None
+        self._ticked_at = _NEVER
+        self._next_near = _NEVER
+        self._next_far = _NEVER
+        self._next_slow_near = _NEVER
+        self._next_slow_far = _NEVER
+        self._next_seeds = _NEVER
 
-    def get_position(self, topic: str) -> int:
-        """Tell up to which revision a topic is known.
+    @property
+    def peers(self) -> _peers.PeerTable:
+        """The other instances."""
+        return self._peers
 
-        :param topic: the topic.
-        :returns: the revision; 0 for not at all.
+    @property
+    def is_ready(self) -> bool:
+        """Whether all topics are known."""
+        return all(topic.is_complete for topic in self._topics)
+
+    def set_seeds(self, hosts: tuple[str, ...]) -> None:
+        """Take the hosts where instances may be found.
+
+        :param hosts: some of them may be gone.
         """
-        return self._topics[topic].shelf.position
+        self._peers.set_seeds(hosts)
+
+    def set_load(self, flows: dict[int, int]) -> None:
+        """Take what peers are to be told of this instance's flows.
+
+        :param flows: by token of their upstream.
+        """
+        self._own.flows = flows
 
     def list_items(self, topic: str) -> list[_item.Item]:
         """List the objects of a topic.
@@ -54,31 +88,42 @@
         :param topic: the topic.
         :returns: those that exist, by rising revision.
         """
-        found = self._topics[topic].shelf.list_after(0)
+        found = self._by_name[topic].shelf.list_after(0)
         return [each for each in found if each.value is not None]
 
-    def compute_age(self, now: float, topic: str) -> float:
+    def compute_age(self, now: float, topic: str) -> float | None:
         """Compute how old the view of a topic may be.
 
         :param now: the time.
         :param topic: the topic.
-        :returns: seconds since the store confirmed it; infinite for
-            never.
+        :returns: seconds since the store confirmed it, here or at a peer;
+            None for never.
         """
-        return now - self._topics[topic].confirmed_at
+        return self._by_name[topic].compute_age(now)
 
     def tick(self, now: float) -> list[object]:
         """Do what is due.
 
-        :param now: the time.
+        :param now: the time; several times between two beacons.
         :returns: effects.
         """
         effects: list[object] = []
-        for topic in self._topics.values():
-            call = topic.feed.call(now, topic.shelf.position)
-            if call is not None:
-                effects.append(_effect.CallStore(call))
-        return effects
+        if self._started_at is None:
+            self._started_at = now
+        elif now - self._ticked_at > self._settings.pause_seconds:
+            effects += self._wake(now)
+        self._ticked_at = now
+        if now >= self._next_near:
+            self._next_near = now + self._settings.beacon_seconds
+            self._peers.refresh(now)
+            effects += self._send_near(now)
+        if now >= self._next_far:
+            self._next_far = now + self._settings.far_seconds
+            effects += self._send_far(now)
+        if now >= self._next_seeds:
+            self._next_seeds = now + self._settings.seed_seconds
+            effects += self._approach(now)
+        return effects + self._ask(now)
 
     def take_answer(
         self, now: float, call: _call.Call, answer: _call.Answer
@@ -90,36 +135,335 @@
         :param answer: its end.
         :returns: effects.
         """
-        topic = self._topics[call.topic]
+        topic = self._by_name[call.topic]
         news = topic.feed.take(now, call, answer)
         if news is None:
-            return self.tick(now)
-        effects = self._take_news(now, call.topic, news)
-        return effects + self.tick(now)
+            return self._ask(now)
+        if news.revision < topic.position:
+            # A peer was faster, or the store lags.
+            return self._ask(now)
+        base = topic.position
+        if news.is_listing:
+            changed = topic.take_whole(news.items, news.revision)
+        else:
+            changed = topic.take_changes(news.items, news.revision)
+        topic.confirm(now)
+        effects = self._spread(now, topic, base, changed, '')
+        return effects + self._ask(now)
+
+    def take_beacon(
+        self, now: float, host: str, beacon: _messages.Beacon
+    ) -> list[object]:
+        """Take a peer's beacon.
+
+        :param now: the time.
+        :param host: where it came from.
+        :param beacon: the beacon.
+        :returns: effects.
+        """
+        if beacon.name == self._own.name:
+            return [_effect.Note('own-name', host=host)]
+        if len(beacon.positions) != len(self._topics):
+            return [_effect.Note('other-topics', host=host)]
+        is_new = beacon.name not in self._peers.members
+        self._peers.hear(now, host, beacon)
+        effects: list[object] = []
+        if beacon.news is not None:
+            effects += self._take_news(now, host, beacon)
+        for topic, position in zip(
+            self._topics, beacon.positions, strict=True
+        ):
+            effects += self._compare(now, topic, host, position)
+        effects += self._take_loads(now, beacon)
+        if beacon.wants_answer or is_new:
+            known = self._peers.choose_hearsay(now)
+            answer = self._build(now, hearsay=known)
+            effects.append(_effect.SendBeacon([host], answer))
+        return effects + self._ask(now)
+
+    def take_fetch(
+        self, now: float, number: int, position: int
+    ) -> _messages.Page | None:
+        """Answer a peer that is behind.
+
+        :param now: the time.
+        :param number: the topic's number.
+        :param position: the peer's position.
+        :returns: the page; None if this instance has none to give.
+        """
+        if number >= len(self._topics):
+            return None
+        topic = self._topics[number]
+        if not topic.is_complete or position > topic.position:
+            return None
+        return topic.build_page(now, position)
+
+    def take_page(
+        self,
+        now: float,
+        fetch: _effect.Fetch,
+        page: _messages.Page | None,
+    ) -> list[object]:
+        """Take the end of a fetch.
+
+        :param now: the time.
+        :param fetch: what was asked.
+        :param page: the answer; None for none.
+        :returns: effects.
+        """
+        topic = self._topics[fetch.topic]
+        if topic.fetching == fetch.host:
+            topic.fetching = ''
+        if page is None:
+            note = _effect.Note(
+                'fetch-failed', host=fetch.host, topic=topic.name
+            )
+            return [note, *self._fetch_elsewhere(now, topic, fetch.host)]
+        base = topic.position
+        is_gap = page.base > base and not page.is_snapshot
+        if is_gap or page.revision < base:
+            return []
+        if page.is_snapshot:
+            changed = topic.take_whole(page.items, page.revision)
+        else:
+            changed = topic.take_changes(page.items, page.revision)
+        if page.age_seconds is not None:
+            topic.confirm(now - page.age_seconds)
+        return self._spread(now, topic, base, changed, fetch.host)
+
+    def leave(self, now: float) -> list[object]:
+        """Tell the others that this instance is about to end.
+
+        :param now: the time.
+        :returns: effects.
+        """
+        self._own.is_leaving = True
+        self._peers.note_own_change()
+        return [*self._send_near(now), *self._send_far(now)]
+
+    def _ask(self, now: float) -> list[object]:
+        """Call the store where that is this instance's duty."""
+        effects: list[object] = []
+        if self._own.is_leaving:
+            return effects
+        for topic in self._topics:
+            if topic.feed.is_calling or not self._must_call(now, topic):
+                continue
+            call = topic.feed.call(now, topic.position)
+            if call is not None:
+                effects.append(_effect.CallStore(call))
+        return effects
+
+    def _must_call(self, now: float, topic: _topic.Topic) -> bool:
+        settings = self._settings
+        if not topic.is_complete:
+            if topic.fetching:
+                return False
+            return now - self._started_at >= settings.first_seconds
+        if not self.is_ready:
+            return False
+        rank = self._peers.compute_rank()
+        if rank < settings.watchers:
+            return True
+        age = topic.compute_age(now)
+        patience = settings.wait_seconds + settings.substitute_seconds
+        # One after the other, so that not all of them ask at once.
+        patience += settings.beacon_seconds * (rank - settings.watchers)
+        return age is None or age > patience
 
     def _take_news(
-        self, now: float, name: str, news: _feed.News
+        self, now: float, host: str, beacon: _messages.Beacon
     ) -> list[object]:
-        topic = self._topics[name]
-        if news.revision < topic.shelf.position:
-            return [_effect.Stale(name, news.revision)]
-        is_changed = not topic.is_complete
-        for item in news.items:
-            is_changed |= topic.shelf.put(item, news.is_listing)
-        if news.is_listing:
-            is_changed |= self._drop_absent(topic.shelf, news)
-        topic.shelf.advance(news.revision)
-        topic.is_complete = True
-        topic.confirmed_at = now
-        effects: list[object] = [_effect.Confirmed(name)]
-        if is_changed:
-            effects.append(_effect.Changed(name, news.revision))
+        news = beacon.news
+        if news.topic >= len(self._topics):
+            return []
+        topic = self._topics[news.topic]
+        revision = beacon.positions[news.topic].revision
+        base = topic.position
+        if not topic.is_complete or news.base > base or revision <= base:
+            return []
+        changed = topic.take_changes(news.items, revision)
+        return self._spread(now, topic, base, changed, host)
+
+    def _compare(
+        self,
+        now: float,
+        topic: _topic.Topic,
+        host: str,
+        position: _messages.Position,
+    ) -> list[object]:
+        if position.revision > topic.position:
+            if not topic.is_complete or position.changed > topic.position:
+                return self._fetch(now, topic, host)
+            # Nothing that concerns the topic was written in between.
+            topic.shelf.advance(position.revision)
+        if (
+            position.revision == topic.position
+            and topic.is_complete
+            and position.age_seconds is not None
+        ):
+            topic.confirm(now - position.age_seconds)
+        return []
+
+    def _fetch(
+        self, now: float, topic: _topic.Topic, host: str
+    ) -> list[object]:
+        if topic.fetching and now < topic.fetch_until:
+            return []
+        topic.fetching = host
+        timeout = self._settings.fetch_seconds
+        topic.fetch_until = now + timeout
+        return [_effect.Fetch(host, topic.number, topic.position, timeout)]
+
+    def _fetch_elsewhere(
+        self, now: float, topic: _topic.Topic, failed: str
+    ) -> list[object]:
+        for peer in self._peers.members.values():
+            if not peer.positions or peer.host == failed:
+                continue
+            changed = peer.positions[topic.number].changed
+            if changed > topic.position and peer.is_reachable:
+                return self._fetch(now, topic, peer.host)
+        return self._ask(now)
+
+    def _spread(
+        self,
+        now: float,
+        topic: _topic.Topic,
+        base: int,
+        changed: list[_item.Item],
+        source: str,
+    ) -> list[object]:
+        """Tell of changes, here and to the neighbours."""
+        effects: list[object] = []
+        is_first = base == 0
+        if changed or is_first:
+            paths = [each.path for each in changed]
+            effects.append(
+                _effect.Changed(topic.name, topic.position, source, paths)
+            )
+        if changed and not is_first:
+            effects += self._push(now, topic, base, changed, source)
+        return effects
+
+    def _push(
+        self,
+        now: float,
+        topic: _topic.Topic,
+        base: int,
+        changed: list[_item.Item],
+        source: str,
+    ) -> list[object]:
+        hosts = [
+            peer.host
+            for peer in self._list_behind(topic)
+            if peer.host != source
+        ]
+        if not hosts:
+            return []
+        news = None
+        if _messages.measure(changed) <= self._settings.push_bytes:
+            news = _messages.News(topic.number, base, tuple(changed))
+        return [_effect.SendBeacon(hosts, self._build(now, news))]
+
+    def _list_behind(self, topic: _topic.Topic) -> list[_peers.Peer]:
+        behind = []
+        for name in self._peers.list_neighbours():
+            peer = self._peers.members[name]
+            if not peer.positions or not peer.is_reachable:
+                continue
+            if peer.positions[topic.number].revision < topic.changed:
+                behind.append(peer)
+        return behind
+
+    def _take_loads(
+        self, now: float, beacon: _messages.Beacon
+    ) -> list[object]:
+        effects: list[object] = []
+        for report in beacon.loads:
+            if not report.is_zone:
+                self._peers.members[beacon.name].flows = report.flows
+                effects.append(_effect.TakeLoad(beacon.name, report.flows))
+                continue
+            at = now - report.age_seconds
+            known, _ = self._zone_loads.get(report.source, (_NEVER, {}))
+            if report.source != self._own.zone and at > known:
+                self._zone_loads[report.source] = (at, report.flows)
+                source = f'zone:{report.source}'
+                effects.append(_effect.TakeLoad(source, report.flows))
         return effects
 
-    def _drop_absent(self, known: shelf.Shelf, news: _feed.News) -> bool:
-        present = [each.path for each in news.items]
-        absent = known.list_absent(news.revision, present)
-        known.raise_floor(news.revision)
-        for each in absent:
-            known.put(_item.Item(each.path, news.revision, each.created, None))
-        return bool(absent)
+    def _send_near(self, now: float) -> list[object]:
+        hosts = self._peers.list_hosts(is_near=True)
+        if not hosts:
+            return []
+        own = self._own
+        loads = [_messages.LoadReport(own.name, False, 0.0, own.flows)]
+        hearsay: tuple[_messages.Hearsay, ...] = ()
+        if now >= self._next_slow_near:
+            self._next_slow_near = now + self._settings.slow_seconds
+            hearsay = self._peers.choose_hearsay(now)
+            loads += [
+                _messages.LoadReport(zone, True, max(0.0, now - at), flows)
+                for zone, (at, flows) in self._zone_loads.items()
+                if now - at <= 2 * self._settings.slow_seconds
+            ]
+        beacon = self._build(now, loads=tuple(loads), hearsay=hearsay)
+        return [_effect.SendBeacon(hosts, beacon)]
+
+    def _send_far(self, now: float) -> list[object]:
+        hosts = self._peers.list_hosts(is_near=False)
+        if not hosts:
+            return []
+        loads: tuple[_messages.LoadReport, ...] = ()
+        hearsay: tuple[_messages.Hearsay, ...] = ()
+        if now >= self._next_slow_far:
+            self._next_slow_far = now + self._settings.slow_seconds
+            hearsay = self._peers.choose_hearsay(now)
+            flows = self._peers.sum_flows()
+            report = _messages.LoadReport(self._own.zone, True, 0.0, flows)
+            loads = (report,)
+        beacon = self._build(now, loads=loads, hearsay=hearsay)
+        return [_effect.SendBeacon(hosts, beacon)]
+
+    def _approach(self, now: float) -> list[object]:
+        hosts = self._peers.list_lost_seeds()
+        if self._own.host in hosts:
+            hosts.remove(self._own.host)
+        if not hosts:
+            return []
+        return [_effect.SendBeacon(hosts, self._build(now, is_asking=True))]
+
+    def _wake(self, now: float) -> list[object]:
+        """Find out what was missed while the process stood still."""
+        for topic in self._topics:
+            topic.confirmed_at = _NEVER
+        self._peers.restart(now)
+        paused = int((now - self._ticked_at) * 1000)
+        hosts = [
+            *self._peers.list_hosts(is_near=True),
+            *self._peers.list_hosts(is_near=False),
+        ]
+        return [
+            _effect.Note('paused', paused_ms=paused),
+            _effect.SendBeacon(hosts, self._build(now, is_asking=True)),
+        ]
+
+    def _build(
+        self,
+        now: float,
+        news: _messages.News | None = None,
+        loads: tuple[_messages.LoadReport, ...] = (),
+        hearsay: tuple[_messages.Hearsay, ...] = (),
+        is_asking: bool = False,
+    ) -> _messages.Beacon:
+        return _messages.Beacon(
+            self._own.name,
+            self._own.zone,
+            self._own.is_leaving,
+            is_asking,
+            tuple(topic.describe(now) for topic in self._topics),
+            news,
+            loads,
+            hearsay,
+        )
--- a/skylarkfold/relay/_effect.py
+++ b/skylarkfold/relay/_effect.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from skylarkfold.relay import _call
+from skylarkfold.relay import _messages
 
 
 class CallStore:
@@ -14,41 +15,83 @@
         self.call = call
 
 
+class SendBeacon:
+    """Send a beacon to some instances.
+
+    :param hosts: where.
+    :param beacon: what.
+    """
+
+    __slots__ = ('beacon', 'hosts')
+
+    def __init__(self, hosts: list[str], beacon: _messages.Beacon) -> None:
+        self.hosts = hosts
+        self.beacon = beacon
+
+
+class Fetch:
+    """Ask a peer for what is missing here.
+
+    :param host: the peer.
+    :param topic: the topic's number.
+    :param position: this instance's position.
+    :param timeout_seconds: when to give up.
+    """
+
+    __slots__ = ('host', 'position', 'timeout_seconds', 'topic')
+
+    def __init__(
+        self, host: str, topic: int, position: int, timeout_seconds: float
+    ) -> None:
+        self.host = host
+        self.topic = topic
+        self.position = position
+        self.timeout_seconds = timeout_seconds
+
+
 class Changed:
     """The objects of a topic have changed.
 
     :param topic: the topic.
     :param revision: up to which revision they are known now.
+    :param source: the host that told of it; empty for the store.
+    :param paths: the names of the objects that changed.
     """
 
-    __slots__ = ('revision', 'topic')
+    __slots__ = ('paths', 'revision', 'source', 'topic')
 
-    def __init__(self, topic: str, revision: int) -> None:
+    def __init__(
+        self, topic: str, revision: int, source: str, paths: list[str]
+    ) -> None:
         self.topic = topic
         self.revision = revision
+        self.source = source
+        self.paths = paths
 
 
-class Confirmed:
-    """The objects of a topic were the store's newest just now.
+class TakeLoad:
+    """Others have told which flows they carry.
 
-    :param topic: the topic.
+    :param source: the instance, or ``zone:NAME`` for all of a zone.
+    :param flows: by token of their upstream.
     """
 
-    __slots__ = ('topic',)
+    __slots__ = ('flows', 'source')
 
-    def __init__(self, topic: str) -> None:
-        self.topic = topic
+    def __init__(self, source: str, flows: dict[int, int]) -> None:
+        self.source = source
+        self.flows = flows
 
 
-class Stale:
-    """An answer was older than what is known, and was ignored.
+class Note:
+    """Write a log line and count.
 
-    :param topic: the topic.
-    :param revision: the answer's.
+    :param reason: what happened.
+    :param details: by name.
     """
 
-    __slots__ = ('revision', 'topic')
+    __slots__ = ('details', 'reason')
 
-    def __init__(self, topic: str, revision: int) -> None:
-        self.topic = topic
-        self.revision = revision
+    def __init__(self, reason: str, **details: object) -> None:
+        self.reason = reason
+        self.details = details
--- a/skylarkfold/relay/_feed.py
+++ b/skylarkfold/relay/_feed.py
@@ -40,6 +40,7 @@
 
     __slots__ = (
         '_backoff',
+        '_called_at',
         '_is_calling',
         '_last_path',
         '_must_list',
@@ -63,6 +64,7 @@
             settings.most_backoff_seconds,
             jitter,
         )
+        self._called_at = float('-inf')
         self._is_calling = False
         self._must_list = True
         self._next_call = float('-inf')
@@ -91,6 +93,7 @@
         if now < self._backoff.open_at:
             return None
         self._is_calling = True
+        self._called_at = now
         settings = self._settings
         if self._must_list or position == 0:
             return _call.Call(
@@ -137,8 +140,12 @@
             # A store that answers with less than was asked for lags.
             self._backoff.note_failure(now)
             return None
+        waited = now - self._called_at
         if answer.items:
             self._next_call = now + self._settings.gather_seconds
+        elif waited < self._settings.wait_seconds / 2:
+            # It did not wait: asking again at once would be a busy loop.
+            self._backoff.note_failure(now)
         return News(answer.items, answer.revision, False)
 
     def _take_page(self, answer: _call.Answer) -> News | None:
--- a/skylarkfold/relay/_settings.py
+++ b/skylarkfold/relay/_settings.py
@@ -7,42 +7,104 @@
     """How what the platform's store holds reaches every instance.
 
     :param topics: the kinds of objects that are kept, each with a
-        position of its own.
-    :param wait_seconds: how long the store may hold a watch.
+        position of its own; in the same order on all instances.
+    :param watchers: how many instances of a zone watch the store.
+    :param wait_seconds: how long the store may hold a watch. A watch that
+        says nothing proves nothing, so this bounds how old the view of a
+        watcher may be; changes must be in force after 3 s.
     :param call_timeout_seconds: how long to wait beyond that. The store
         answers in 4 ms; 60 times as long when it is slow.
     :param gather_seconds: the pause before a watch that brought changes
-        is renewed, so that a burst of them costs few calls. Changes must
-        be in force after 3 s.
+        is renewed, so that a burst of them costs few calls.
     :param least_backoff_seconds: the first pause after a failed call.
     :param most_backoff_seconds: the longest pause between failed calls.
     :param tombstones: how many deletions of a topic are remembered.
+    :param beacon_seconds: how often neighbours are told the positions. An
+        instance that missed a change finds out after so long.
+    :param far_seconds: the same towards other zones, whose bytes are dear;
+        changes are told at once.
+    :param slow_seconds: how often names and the loads of zones are added.
+    :param first_seconds: how long a new instance waits for a peer to
+        answer before it asks the store; peers answer within 10 ms.
+    :param seed_seconds: how often seeds that nobody known has are tried.
+    :param silence_seconds: a neighbour silent for so long has no duties:
+        three far beacons lost in a row.
+    :param hearsay_seconds: the same for instances that are only heard of
+        through others, who pass on a few names with each beacon.
+    :param forget_seconds: instances silent for so long are forgotten.
+    :param substitute_seconds: beyond ``wait_seconds``, how old the view
+        may become before others than the watchers watch as well.
+    :param fetch_seconds: a peer that does not answer a fetch for so long
+        is passed over.
+    :param push_bytes: changes up to this size travel with the beacon;
+        larger ones are fetched. One packet on any link.
+    :param pause_seconds: a longer time between two ticks means that the
+        process stood still and what it knows may be old.
     """
 
     __slots__ = (
+        'beacon_seconds',
         'call_timeout_seconds',
+        'far_seconds',
+        'fetch_seconds',
+        'first_seconds',
+        'forget_seconds',
         'gather_seconds',
+        'hearsay_seconds',
         'least_backoff_seconds',
         'most_backoff_seconds',
+        'pause_seconds',
+        'push_bytes',
+        'seed_seconds',
+        'silence_seconds',
+        'slow_seconds',
+        'substitute_seconds',
         'tombstones',
         'topics',
         'wait_seconds',
+        'watchers',
     )
 
     def __init__(
         self,
         topics: tuple[str, ...] = (),
-        wait_seconds: float = 8.0,
+        watchers: int = 1,
+        wait_seconds: float = 3.0,
         call_timeout_seconds: float = 1.0,
         gather_seconds: float = 0.2,
         least_backoff_seconds: float = 0.1,
         most_backoff_seconds: float = 1.0,
         tombstones: int = 2000,
+        beacon_seconds: float = 0.2,
+        far_seconds: float = 0.4,
+        slow_seconds: float = 1.0,
+        first_seconds: float = 0.03,
+        seed_seconds: float = 1.0,
+        silence_seconds: float = 1.2,
+        hearsay_seconds: float = 10.0,
+        forget_seconds: float = 30.0,
+        substitute_seconds: float = 1.0,
+        fetch_seconds: float = 0.5,
+        push_bytes: int = 1000,
+        pause_seconds: float = 0.8,
     ) -> None:
         self.topics = topics
+        self.watchers = watchers
         self.wait_seconds = wait_seconds
         self.call_timeout_seconds = call_timeout_seconds
         self.gather_seconds = gather_seconds
         self.least_backoff_seconds = least_backoff_seconds
         self.most_backoff_seconds = most_backoff_seconds
         self.tombstones = tombstones
+        self.beacon_seconds = beacon_seconds
+        self.far_seconds = far_seconds
+        self.slow_seconds = slow_seconds
+        self.first_seconds = first_seconds
+        self.seed_seconds = seed_seconds
+        self.silence_seconds = silence_seconds
+        self.hearsay_seconds = hearsay_seconds
+        self.forget_seconds = forget_seconds
+        self.substitute_seconds = substitute_seconds
+        self.fetch_seconds = fetch_seconds
+        self.push_bytes = push_bytes
+        self.pause_seconds = pause_seconds
--- /dev/null
+++ b/skylarkfold/tests/relay/test_messages.py
@@ -0,0 +1,106 @@
+"""Tests of the messages between instances."""
+
+import hypothesis
+from hypothesis import strategies
+import msgpack
+import testtools
+
+from skylarkfold import errors
+from skylarkfold import relay
+from skylarkfold.relay import _messages
+
+COUNTS = strategies.integers(0, 2**62)
+NAMES = strategies.text(min_size=1, max_size=8)
+VALUES = strategies.none() | strategies.dictionaries(
+    NAMES, strategies.integers(0, 9) | NAMES, max_size=3
+)
+ITEMS = strategies.builds(relay.Item, NAMES, COUNTS, COUNTS, VALUES)
+AGES = strategies.none() | strategies.integers(0, 10**6).map(
+    lambda number: number / 1000
+)
+LOADS = strategies.builds(
+    _messages.LoadReport,
+    NAMES,
+    strategies.booleans(),
+    strategies.integers(0, 9).map(float),
+    strategies.dictionaries(COUNTS, COUNTS, max_size=3),
+)
+BEACONS = strategies.builds(
+    relay.Beacon,
+    NAMES,
+    NAMES,
+    strategies.booleans(),
+    strategies.booleans(),
+    strategies.lists(
+        strategies.builds(relay.Position, COUNTS, COUNTS, AGES), max_size=3
+    ).map(tuple),
+    strategies.none()
+    | strategies.builds(
+        _messages.News,
+        strategies.integers(0, 5),
+        COUNTS,
+        strategies.lists(ITEMS, max_size=3).map(tuple),
+    ),
+    strategies.lists(LOADS, max_size=3).map(tuple),
+)
+ANYTHING = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**63), 2**64 - 1)
+    | strategies.floats()
+    | strategies.text(max_size=4)
+    | strategies.binary(max_size=4),
+    lambda inner: (
+        strategies.lists(inner, max_size=8)
+        | strategies.dictionaries(
+            strategies.text(max_size=3), inner, max_size=3
+        )
+    ),
+    max_leaves=12,
+)
+
+
+class MessagesTest(testtools.TestCase):
+    @hypothesis.given(BEACONS)
+    def test_a_beacon_arrives_as_it_was(self, beacon):
+        data = relay.encode_beacon(beacon)
+        again = relay.decode_beacon(data)
+        self.assertEqual(data, relay.encode_beacon(again))
+        self.assertEqual(beacon.name, again.name)
+        self.assertEqual(beacon.is_leaving, again.is_leaving)
+        self.assertEqual(len(beacon.positions), len(again.positions))
+
+    @hypothesis.given(
+        COUNTS,
+        COUNTS,
+        strategies.booleans(),
+        AGES,
+        strategies.lists(ITEMS, max_size=3).map(tuple),
+    )
+    def test_a_page_arrives_as_it_was(self, base, revision, whole, age, items):
+        page = relay.Page(base, revision, whole, age, items)
+        again = relay.decode_page(relay.encode_page(page))
+        self.assertEqual(relay.encode_page(page), relay.encode_page(again))
+
+    @hypothesis.given(COUNTS, COUNTS)
+    def test_a_fetch_arrives_as_it_was(self, topic, position):
+        data = relay.encode_fetch(topic, position)
+        self.assertEqual((topic, position), relay.decode_fetch(data))
+
+    @hypothesis.given(
+        strategies.binary(max_size=60)
+        | ANYTHING.map(msgpack.packb)
+        | strategies.lists(ANYTHING, max_size=8).map(
+            lambda rest: msgpack.packb([1, *rest])
+        )
+    )
+    def test_any_bytes_give_a_message_or_an_error_with_a_code(self, data):
+        for decode in (
+            relay.decode_beacon,
+            relay.decode_fetch,
+            relay.decode_page,
+        ):
+            try:
+                decode(data)
+            except errors.DecodeError as error:
+                self.assertEqual('message-malformed', error.code)
--- /dev/null
+++ b/skylarkfold/tests/relay/test_spread.py
@@ -0,0 +1,196 @@
+"""Tests of how changes reach every instance."""
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from skylarkfold import relay
+from skylarkfold.tests.relay import fleet as fleet_module
+
+ZONES = ('a', 'a', 'a', 'b', 'b', 'c', 'c')
+LARGE = {'text': 'x' * 20000}
+
+
+class SpreadTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = fleet_module.Fleet(ZONES)
+        self.fleet.store.put('routes', 'main', {'version': 1})
+        self.fleet.run(3.0)
+
+    def is_everywhere(self):
+        revisions = self.fleet.get_revisions('routes', 'main')
+        newest = self.fleet.store.objects['routes']['main'].revision
+        return set(revisions.values()) == {newest}
+
+    def test_all_know_what_was_there_before(self):
+        self.assertTrue(self.is_everywhere())
+
+    def test_a_small_change_is_everywhere_within_a_tenth_of_a_second(self):
+        self.fleet.store.put('routes', 'main', {'version': 2})
+        self.fleet.run(0.1)
+        self.assertTrue(self.is_everywhere())
+
+    def test_a_large_change_is_fetched(self):
+        self.fleet.store.put('routes', 'main', LARGE)
+        self.fleet.run(0.1)
+        self.assertTrue(self.is_everywhere())
+
+    def test_calls_grow_with_zones(self):
+        before = self.fleet.store.calls
+        for version in range(20):
+            self.fleet.run(1.0)
+            self.fleet.store.put('routes', 'main', {'version': version})
+        self.fleet.run(1.0)
+        # Three zones with one watcher each, two topics, 21 s.
+        self.assertLess(self.fleet.store.calls - before, 3 * (20 + 2 * 8))
+
+    def test_an_instance_that_the_store_turns_away_is_told_by_others(self):
+        self.fleet.cut = lambda one, other: (
+            other == fleet_module.STORE
+            and one in ('entry-0', 'entry-1', 'entry-2', 'entry-3')
+        )
+        self.fleet.run(1.0)
+        self.fleet.store.put('routes', 'main', {'version': 2})
+        self.fleet.run(0.5)
+        self.assertTrue(self.is_everywhere())
+
+    def test_the_end_of_all_watchers_is_made_up_for(self):
+        for zone in 'abc':
+            first = min(
+                (
+                    name
+                    for name, core in self.fleet.cores.items()
+                    if self.fleet.zones[name] == zone
+                ),
+                key=lambda name: self.fleet.cores[name].peers.compute_rank(),
+            )
+            self.fleet.end(first)
+        self.fleet.store.put('routes', 'main', {'version': 2})
+        self.fleet.run(2.0)
+        self.assertTrue(self.is_everywhere())
+
+    def test_a_zone_that_was_cut_off_learns_what_it_missed(self):
+        zones = self.fleet.zones
+
+        def is_cut(one, other):
+            return zones.get(one) == 'b' and zones.get(other) != 'b'
+
+        self.fleet.cut = is_cut
+        self.fleet.run(0.5)
+        self.fleet.store.put('routes', 'main', {'version': 2})
+        self.fleet.run(5.0)
+        self.assertFalse(self.is_everywhere())
+        self.fleet.cut = lambda one, other: False
+        self.fleet.run(1.2)
+        self.assertTrue(self.is_everywhere())
+
+    def test_a_newcomer_learns_from_its_peers_while_the_store_is_down(self):
+        self.fleet.is_store_down = True
+        self.fleet.start('entry-9', 'c')
+        self.fleet.run(0.2)
+        self.assertTrue(self.is_everywhere())
+
+    def test_a_deletion_during_a_cut_is_not_brought_back(self):
+        self.fleet.store.put('upstreams', 'one', {'n': 1})
+        self.fleet.run(0.5)
+        zones = self.fleet.zones
+        self.fleet.cut = lambda one, other: (
+            zones.get(one) == 'b' and zones.get(other) != 'b'
+        )
+        self.fleet.run(0.5)
+        self.fleet.store.put('upstreams', 'one', None)
+        self.fleet.store.forget()
+        self.fleet.run(3.0)
+        self.fleet.cut = lambda one, other: False
+        self.fleet.run(3.0)
+        revisions = self.fleet.get_revisions('upstreams', 'one')
+        self.assertEqual({0}, set(revisions.values()))
+
+    def test_a_forgotten_history_is_listed_again(self):
+        self.fleet.is_store_down = True
+        self.fleet.run(2.0)
+        self.fleet.store.put('routes', 'main', {'version': 2})
+        self.fleet.store.forget()
+        self.fleet.is_store_down = False
+        self.fleet.run(3.0)
+        self.assertTrue(self.is_everywhere())
+
+    def test_no_instance_goes_back(self):
+        for version in range(2, 12):
+            self.fleet.store.put('routes', 'main', {'version': version})
+            self.fleet.run(0.03)
+        seen = {}
+        for _, name, changed in self.fleet.changes:
+            key = (name, changed.topic)
+            self.assertGreaterEqual(changed.revision, seen.get(key, 0))
+            seen[key] = changed.revision
+
+    def test_a_beacon_of_a_stranger_with_other_topics_is_ignored(self):
+        core = self.fleet.cores['entry-0']
+        beacon = relay.Beacon('x', 'a', False, False, ())
+        (note,) = core.take_beacon(self.fleet.now, 'x', beacon)
+        self.assertEqual('other-topics', note.reason)
+
+
+class RandomFaultsTest(testtools.TestCase):
+    @hypothesis.given(strategies.data())
+    @hypothesis.settings(max_examples=25)
+    def test_all_agree_with_the_store_after_the_faults(self, data):
+        fleet = fleet_module.Fleet(ZONES)
+        fleet.run(1.0)
+        names = sorted(fleet.cores)
+        written = 0
+        for step in range(data.draw(strategies.integers(1, 8))):
+            action = data.draw(
+                strategies.sampled_from(
+                    ['write', 'delete', 'down', 'up', 'forget', 'cut']
+                    + ['heal', 'end', 'start']
+                )
+            )
+            topic = data.draw(strategies.sampled_from(fleet_module.TOPICS))
+            path = data.draw(strategies.sampled_from(['p', 'q']))
+            if action == 'write':
+                written += 1
+                fleet.store.put(topic, path, {'n': written})
+            elif action == 'delete' and path in fleet.store.objects[topic]:
+                fleet.store.put(topic, path, None)
+            elif action in ('down', 'up'):
+                fleet.is_store_down = action == 'down'
+            elif action == 'forget':
+                fleet.store.forget()
+            elif action == 'cut':
+                side = set(
+                    data.draw(
+                        strategies.sets(
+                            strategies.sampled_from(
+                                [*names, fleet_module.STORE]
+                            )
+                        )
+                    )
+                )
+                fleet.cut = lambda one, other, side=side: (
+                    (one in side) != (other in side)
+                )
+            elif action == 'heal':
+                fleet.cut = lambda one, other: False
+            elif action == 'end' and len(fleet.cores) > 2:
+                fleet.end(
+                    data.draw(strategies.sampled_from(sorted(fleet.cores)))
+                )
+            elif action == 'start':
+                fleet.start(f'new-{step}', 'b')
+            fleet.run(data.draw(strategies.sampled_from([0.02, 0.4, 5.0])))
+        fleet.is_store_down = False
+        fleet.cut = lambda one, other: False
+        fleet.run(8.0)
+        for topic in fleet_module.TOPICS:
+            wanted = {
+                path: item.value
+                for path, item in fleet.store.objects[topic].items()
+            }
+            for name, core in fleet.cores.items():
+                known = {
+                    each.path: each.value for each in core.list_items(topic)
+                }
+                self.assertEqual(wanted, known, f'{name} {topic}')
