--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -24,6 +24,9 @@
 _TICK_SECONDS = 0.01
 _FLUSH_SECONDS = 0.1
 _COUNTERS_SECONDS = 10.0
+# How long a planned stop waits for others of the zone to be in rotation. Two
+# missed checks later, at most 1.2 s, it must be out: within 4 s in all.
+_HOLD_SECONDS = 2.2
 # A planned stop goes on forwarding until the readiness checks, two a
 # second, have missed twice and the routers have heard of it.
 _LEAVE_SECONDS = 1.6
@@ -255,7 +258,7 @@
         most = self._settings.grace_seconds - _GRACE_RESERVE_SECONDS
         taken = now - self._stopping_at
         if self._leaving_at is None:
-            is_late = taken > most - _LEAVE_SECONDS
+            is_late = taken > _HOLD_SECONDS
             if is_late or self._relay.may_leave(now):
                 self._leaving_at = now
                 self._log('leaving', waited_ms=int(taken * 1000))
