A doubt is put to peers before a probe, and a verdict needs others heard

Change: timers that fall due during callbacks wait for the next look at the sockets (test_what_arrived_goes_before_a_timer_that_fell_due_meanwhile); the patience is learnt for each service; peers of the zone say whether they heard the upstream; an upstream heard by anyone outranks failed probes; a verdict without others heard meanwhile resets nothing.

--- a/skylarkfold/affinity/__init__.py
+++ b/skylarkfold/affinity/__init__.py
@@ -9,6 +9,7 @@
 """
 
 from skylarkfold.affinity._core import AffinityCore
+from skylarkfold.affinity._effect import AskPeers
 from skylarkfold.affinity._effect import Drop
 from skylarkfold.affinity._effect import Forward
 from skylarkfold.affinity._effect import Probe
@@ -27,6 +28,7 @@
 __all__ = [
     'AffinityCore',
     'AffinitySettings',
+    'AskPeers',
     'Drop',
     'Forward',
     'Packet',
--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -7,6 +7,7 @@
 
 from skylarkfold.affinity import _directory
 from skylarkfold.affinity import _effect
+from skylarkfold.affinity import _ending
 from skylarkfold.affinity import _flow
 from skylarkfold.affinity import _health
 from skylarkfold.affinity import _load
@@ -39,8 +40,9 @@
         self._routes = _route.EMPTY
         self._directory = _directory.Directory(settings)
         self._flows = _flow.FlowTable(settings.flow_limit)
+        self._ending = _ending.Ending(settings, self._flows)
         self._health = _health.HealthWatch(
-            zone, settings, self._directory, self._flows
+            zone, settings, self._directory, self._ending
         )
         self._peer_loads = _load.PeerLoads(settings, self._directory)
         self._openings: collections.deque[tuple[float, _flow.Flow]] = (
@@ -104,7 +106,7 @@
             effects += self._health.take_lapse(now, standing)
         for standing in self._directory:
             if standing.is_replaced:
-                effects += self._health.end_flows(now, standing)
+                effects += self._ending.end_flows(now, standing)
         return effects + self._release(now)
 
     def note_confirmed(self, now: float) -> None:
@@ -156,6 +158,36 @@
             return self._take_removed(now, packet, flow)
         return self._carry(now, packet, flow)
 
+    def list_heard(
+        self, now: float, tokens: Iterable[int]
+    ) -> dict[int, float]:
+        """Answer a peer that doubts some upstreams.
+
+        :param now: the time.
+        :param tokens: the upstreams' tokens.
+        :returns: for those heard here, how many seconds ago, by token.
+        """
+        heard = {}
+        for token in tokens:
+            standing = self._directory.find(token)
+            if standing is None:
+                continue
+            age = now - standing.heard_at
+            if age <= self._settings.longest_wait_seconds:
+                heard[token] = age
+        return heard
+
+    def take_heard(self, now: float, heard: dict[int, float]) -> None:
+        """Take what a peer has heard of upstreams in doubt.
+
+        :param now: the time.
+        :param heard: how many seconds ago, by token.
+        """
+        for token, age in heard.items():
+            standing = self._directory.find(token)
+            if standing is not None:
+                self._health.take_heard(now, standing, now - age)
+
     def take_probe(self, now: float, name: str, outcome: str) -> list[object]:
         """Take the end of a probe.
 
@@ -317,9 +349,10 @@
         flow.seen_at = now
         standing = flow.standing
         if standing.health != _standing.Health.GOOD or standing.is_replaced:
-            ended = self._health.end_flow(now, flow, packet)
+            ended = self._ending.end_flow(now, flow, packet)
             if ended is not None:
                 return ended
+            self._health.recheck(standing)
         self._health.take_packet(now, flow, packet)
         if packet.is_last:
             flow.is_closed = True
--- a/skylarkfold/affinity/_effect.py
+++ b/skylarkfold/affinity/_effect.py
@@ -67,6 +67,18 @@
         self.reason = reason
 
 
+class AskPeers:
+    """Ask the peers of this zone when they last heard an upstream.
+
+    What they say comes back through ``AffinityCore.take_heard``.
+    """
+
+    __slots__ = ('upstream',)
+
+    def __init__(self, upstream: _upstream.Upstream) -> None:
+        self.upstream = upstream
+
+
 class Probe:
     """Find out whether an upstream takes connections.
 
--- /dev/null
+++ b/skylarkfold/affinity/_ending.py
@@ -0,0 +1,99 @@
+"""Resets of flows whose upstream is gone."""
+
+from __future__ import annotations
+
+from skylarkfold.affinity import _effect
+from skylarkfold.affinity import _flow
+from skylarkfold.affinity import _packet
+from skylarkfold.affinity import _settings
+from skylarkfold.affinity import _standing
+
+Reason = _effect.Reason
+
+
+class Ending:
+    """Ends flows early, so that their callers open new ones at once.
+
+    :param settings: how long a verdict counts.
+    :param flows: the flows carried here.
+    """
+
+    __slots__ = ('_flows', '_settings')
+
+    def __init__(
+        self,
+        settings: _settings.AffinitySettings,
+        flows: _flow.FlowTable,
+    ) -> None:
+        self._settings = settings
+        self._flows = flows
+
+    def end_flow(
+        self, now: float, flow: _flow.Flow, packet: _packet.Packet
+    ) -> list[object] | None:
+        """End the flow of a packet if its upstream is gone.
+
+        :param now: the time.
+        :param flow: the flow.
+        :param packet: the packet.
+        :returns: effects in place of forwarding it, None to forward it.
+        """
+        if not flow.standing.may_reset(now, self._settings):
+            return None
+        if packet.is_last or not _may_end(flow):
+            return None
+        flow.acknowledged = packet.acknowledged
+        return self._reset(now, flow)
+
+    def end_flows(
+        self, now: float, standing: _standing.Standing
+    ) -> list[object]:
+        """End all flows of an upstream if it is gone.
+
+        Their callers need not find out with their next request.
+
+        :param now: the time.
+        :param standing: the upstream.
+        :returns: effects.
+        """
+        if not standing.may_reset(now, self._settings):
+            return []
+        effects: list[object] = []
+        for flow in self._flows:
+            is_here = flow.standing is standing and flow.is_open
+            if is_here and not flow.is_closed and _may_end(flow):
+                effects += self._reset(now, flow)
+        return effects
+
+    def _reset(self, now: float, flow: _flow.Flow) -> list[object]:
+        standing = flow.standing
+        reason = Reason.OUT_OF_REACH
+        if standing.is_replaced:
+            reason = Reason.REPLACED
+        self._flows.remove(flow)
+        waited = flow.waiting_since
+        details = {
+            'waited_ms': 0 if waited is None else to_ms(now - waited),
+            'heard_ms_ago': to_ms(now - standing.last_heard),
+            'failed_ms_ago': to_ms(now - standing.failed_at),
+        }
+        name = standing.upstream.name
+        return [
+            _effect.Record('reset', reason, flow.key, name, details),
+            _effect.Reset(flow.key, flow.acknowledged),
+        ]
+
+
+def _may_end(flow: _flow.Flow) -> bool:
+    # A request that must not run twice may have been passed on: its caller
+    # would not repeat it, and the answer may still come.
+    return flow.is_idempotent or flow.waiting_since is None
+
+
+def to_ms(seconds: float) -> int:
+    """Write a duration for a log line.
+
+    :param seconds: the duration; infinite for never.
+    :returns: milliseconds, -1 for never.
+    """
+    return -1 if seconds > 1e6 else int(seconds * 1000)
--- a/skylarkfold/affinity/_health.py
+++ b/skylarkfold/affinity/_health.py
@@ -3,8 +3,9 @@
 Answers go straight to the callers, so nothing is heard of an upstream
 directly. A caller shows that it was answered by what it acknowledges, and
 that it was not by a first packet without a second, or a request without
-an acknowledgement. Such a hint has the upstream probed; only probes that
-fail are a verdict, since an upstream may be slow or a caller gone.
+an acknowledgement. Such a silence is a doubt, no more: the peers of this
+zone are asked whether they have heard the upstream since. If none has, it
+is probed. Only probes that fail while others are heard are a verdict.
 """
 
 from __future__ import annotations
@@ -13,23 +14,25 @@
 
 from skylarkfold.affinity import _directory
 from skylarkfold.affinity import _effect
+from skylarkfold.affinity import _ending
 from skylarkfold.affinity import _flow
 from skylarkfold.affinity import _packet
+from skylarkfold.affinity import _patience
 from skylarkfold.affinity import _settings
 from skylarkfold.affinity import _standing
 
 Health = _standing.Health
 Outcome = _effect.ProbeOutcome
-Reason = _effect.Reason
+_NEVER = float('-inf')
 
 
 class HealthWatch:
-    """Hints, probes and verdicts, and what they mean for open flows.
+    """Doubts, questions to peers, probes and verdicts.
 
     :param zone: this instance's availability zone.
     :param settings: the limits.
     :param directory: all upstreams.
-    :param flows: the flows carried here.
+    :param ending: resets the flows of upstreams that are gone.
     """
 
     def __init__(
@@ -37,16 +40,18 @@
         zone: str,
         settings: _settings.AffinitySettings,
         directory: _directory.Directory,
-        flows: _flow.FlowTable,
+        ending: _ending.Ending,
     ) -> None:
         self._zone = zone
         self._settings = settings
         self._directory = directory
-        self._flows = flows
+        self._ending = ending
+        self._patience = _patience.Patience(settings)
         self._waits: collections.deque[tuple[float, _flow.Flow]] = (
             collections.deque()
         )
         self._suspects: dict[str, _standing.Standing] = {}
+        self._heard_any_at = _NEVER
 
     def note_heard(self, now: float, standing: _standing.Standing) -> None:
         """Note that a packet proved an upstream to answer.
@@ -54,7 +59,7 @@
         :param now: the time.
         :param standing: the upstream.
         """
-        standing.heard_at = now
+        standing.heard_at = self._heard_any_at = now
 
     def take_packet(
         self, now: float, flow: _flow.Flow, packet: _packet.Packet
@@ -67,8 +72,7 @@
         """
         if _flow.is_after(packet.acknowledged, flow.acknowledged):
             flow.acknowledged = packet.acknowledged
-            flow.waiting_since = None
-            self.note_heard(now, flow.standing)
+            self._note_answer(now, flow)
         if not packet.length:
             return
         end = _flow.add_length(packet.sequence, packet.length)
@@ -77,8 +81,8 @@
         flow.sent = end
         if flow.waiting_since is None:
             flow.waiting_since = now
-            due = now + self._settings.answer_patience_seconds
-            self._waits.append((due, flow))
+            service = flow.standing.upstream.service
+            self._waits.append((now + self._patience.get(service), flow))
 
     def doubt_opening(self, now: float, flow: _flow.Flow) -> list[object]:
         """Take a first packet that was not answered in time.
@@ -87,11 +91,10 @@
         :param flow: its flow.
         :returns: effects.
         """
-        sent_at = now - self._settings.open_patience_seconds
         standing = flow.standing
-        if standing.heard_at >= sent_at:
+        if standing.last_heard >= flow.placed_at:
             return []
-        return self._doubt(now, standing)
+        return self._doubt(now, standing, flow.placed_at)
 
     def take_lapse(
         self, now: float, standing: _standing.Standing
@@ -102,9 +105,23 @@
         :param standing: the upstream.
         :returns: effects.
         """
-        if standing.is_replaced:
+        # One that left as planned ends its flows itself.
+        if standing.is_replaced or standing.upstream.is_draining:
             return []
-        return self._doubt(now, standing)
+        return self._doubt(now, standing, now)
+
+    def take_heard(
+        self, now: float, standing: _standing.Standing, at: float
+    ) -> None:
+        """Take when a peer last heard an upstream.
+
+        :param now: the time.
+        :param standing: the upstream.
+        :param at: when.
+        """
+        standing.heard_elsewhere_at = max(standing.heard_elsewhere_at, at)
+        if standing.health == Health.DOUBTED and self._is_answering(standing):
+            self._dismiss(now, standing)
 
     def take_probe(self, now: float, name: str, outcome: str) -> list[object]:
         """Take the end of a probe.
@@ -118,30 +135,32 @@
         if standing is None:
             return []
         standing.is_probing = False
-        if outcome == Outcome.ALIVE:
+        if outcome == Outcome.ALIVE or self._is_answering(standing):
             return self._take_alive(now, standing)
         standing.failures += 1
         standing.failed_at = now
         if standing.failures < self._settings.probe_tries:
             return self._probe(now, standing)
         standing.probe_due = now + self._settings.probe_pause_seconds
+        # If nobody at all was heard meanwhile, the fault may be here.
+        standing.is_proven = self._heard_any_at > standing.probed_at
         if standing.health == Health.OUT_OF_REACH:
             return []
         standing.health = Health.OUT_OF_REACH
         effects: list[object] = [self._record(now, standing, outcome)]
-        effects += self.end_flows(now, standing)
+        effects += self._ending.end_flows(now, standing)
         return effects + self._doubt_zone(now, standing)
 
     def tick(self, now: float) -> list[object]:
-        """Probe what is due and look at requests that wait.
+        """Look at requests that wait and probe what is due.
 
         :param now: the time.
         :returns: effects.
         """
         effects: list[object] = []
         while self._waits and self._waits[0][0] <= now:
-            due, flow = self._waits.popleft()
-            effects += self._judge_wait(now, due, flow)
+            _, flow = self._waits.popleft()
+            effects += self._judge_wait(now, flow)
         for name, standing in list(self._suspects.items()):
             if not self._is_of_interest(standing):
                 del self._suspects[name]
@@ -149,114 +168,80 @@
                 effects += self._probe(now, standing)
         return effects
 
-    def end_flow(
-        self, now: float, flow: _flow.Flow, packet: _packet.Packet
-    ) -> list[object] | None:
-        """End the flow of a packet whose upstream is gone.
-
-        :param now: the time.
-        :param flow: the flow.
-        :param packet: the packet.
-        :returns: effects in place of forwarding it, None to forward it.
-        """
-        standing = flow.standing
-        if not standing.may_reset(now, self._settings):
-            # The verdict is out of date: ask again, forward meanwhile.
-            self._suspects[standing.upstream.name] = standing
-            return None
-        if packet.is_last or not self._may_end(flow):
-            return None
-        flow.acknowledged = packet.acknowledged
-        return self._reset(now, flow)
-
-    def end_flows(
-        self, now: float, standing: _standing.Standing
-    ) -> list[object]:
-        """End all flows of an upstream that is gone.
-
-        Their callers open new ones at once, before or with their next
-        request, instead of waiting for an answer that can't come.
+    def recheck(self, standing: _standing.Standing) -> None:
+        """Probe an upstream again whose verdict is out of date.
 
-        :param now: the time.
         :param standing: the upstream.
-        :returns: effects.
         """
-        effects: list[object] = []
-        may_reset = standing.may_reset(now, self._settings)
-        if not may_reset:
-            return effects
-        for flow in self._flows:
-            is_here = flow.standing is standing and flow.is_open
-            if is_here and not flow.is_closed and self._may_end(flow):
-                effects += self._reset(now, flow)
-        return effects
-
-    def _is_of_interest(self, standing: _standing.Standing) -> bool:
-        if self._directory.get(standing.upstream.name) is not standing:
-            return False
-        if standing.is_replaced:
-            return False
-        return standing.lapsed_at is None or standing.flows > 0
+        if standing.health == Health.OUT_OF_REACH:
+            self._suspects[standing.upstream.name] = standing
 
-    def _may_end(self, flow: _flow.Flow) -> bool:
-        # A request that must not run twice may have been passed on: its
-        # caller would not repeat it, and the answer may still come.
-        return flow.is_idempotent or flow.waiting_since is None
+    def _note_answer(self, now: float, flow: _flow.Flow) -> None:
+        self.note_heard(now, flow.standing)
+        if flow.waiting_since is not None:
+            service = flow.standing.upstream.service
+            self._patience.note(service, now - flow.waiting_since)
+            flow.waiting_since = None
 
-    def _reset(self, now: float, flow: _flow.Flow) -> list[object]:
+    def _judge_wait(self, now: float, flow: _flow.Flow) -> list[object]:
+        if flow.waiting_since is None or flow.is_closed:
+            return []
         standing = flow.standing
-        reason = Reason.OUT_OF_REACH
-        if standing.is_replaced:
-            reason = Reason.REPLACED
-        self._flows.remove(flow)
-        waited = flow.waiting_since
-        details = {
-            'waited_ms': 0 if waited is None else _to_ms(now - waited),
-            'heard_ms_ago': _to_ms(now - standing.heard_at),
-            'failed_ms_ago': _to_ms(now - standing.failed_at),
-        }
-        name = standing.upstream.name
-        return [
-            _effect.Record('reset', reason, flow.key, name, details),
-            _effect.Reset(flow.key, flow.acknowledged),
-        ]
-
-    def _judge_wait(
-        self, now: float, due: float, flow: _flow.Flow
-    ) -> list[object]:
-        asked_at = due - self._settings.answer_patience_seconds
-        if flow.waiting_since is None or flow.waiting_since > asked_at:
+        silent_since = max(flow.waiting_since, standing.last_heard)
+        patience = self._patience.get(standing.upstream.service)
+        if now - flow.waiting_since > self._settings.longest_wait_seconds:
+            # Its caller has given up, or goes through another instance.
             return []
-        if flow.is_closed or flow.standing.heard_at >= asked_at:
+        if now - silent_since < patience:
+            self._waits.append((silent_since + patience, flow))
             return []
-        return self._doubt(now, flow.standing)
+        self._waits.append((now + patience, flow))
+        return self._doubt(now, standing, silent_since)
 
-    def _doubt(self, now: float, standing: _standing.Standing) -> list[object]:
-        if standing.is_replaced or now < standing.probe_due:
+    def _doubt(
+        self, now: float, standing: _standing.Standing, silent_since: float
+    ) -> list[object]:
+        is_due = now >= standing.probe_due
+        if standing.is_replaced or standing.health != Health.GOOD:
+            return []
+        if not is_due:
             return []
-        if standing.health == Health.GOOD:
-            standing.health = Health.DOUBTED
+        standing.health = Health.DOUBTED
+        standing.silent_since = silent_since
+        standing.probe_due = now + self._settings.ask_seconds
         self._suspects[standing.upstream.name] = standing
-        return self._probe(now, standing)
+        return [_effect.AskPeers(standing.upstream)]
 
     def _doubt_zone(
         self, now: float, failed: _standing.Standing
     ) -> list[object]:
-        """Probe the others of a zone that may be cut off."""
+        """Doubt the others of a zone that may be cut off."""
         zone = failed.upstream.zone
         if zone == self._zone:
             return []
         effects: list[object] = []
         for each in self._directory:
             is_mate = each.upstream.zone == zone and each.lapsed_at is None
-            if is_mate and each.health == Health.GOOD:
-                effects += self._doubt(now, each)
+            if is_mate and each.last_heard < failed.probed_at:
+                effects += self._doubt(now, each, failed.probed_at)
         return effects
 
+    def _is_answering(self, standing: _standing.Standing) -> bool:
+        return standing.last_heard > standing.silent_since
+
+    def _is_of_interest(self, standing: _standing.Standing) -> bool:
+        if self._directory.get(standing.upstream.name) is not standing:
+            return False
+        if standing.is_replaced:
+            return False
+        return standing.lapsed_at is None or standing.flows > 0
+
     def _probe(self, now: float, standing: _standing.Standing) -> list[object]:
         if standing.is_probing:
             return []
         standing.is_probing = True
+        if not standing.failures:
+            standing.probed_at = now
         timeout = self._settings.probe_timeout_seconds
         return [_effect.Probe(standing.upstream, timeout)]
 
@@ -264,20 +249,26 @@
         self, now: float, standing: _standing.Standing
     ) -> list[object]:
         was_lost = standing.health == Health.OUT_OF_REACH
+        self._dismiss(now, standing)
+        if was_lost:
+            return [self._record(now, standing, Outcome.ALIVE)]
+        return []
+
+    def _dismiss(self, now: float, standing: _standing.Standing) -> None:
         standing.failures = 0
+        standing.is_proven = False
         standing.health = Health.GOOD
         standing.probe_due = now + self._settings.probe_pause_seconds
         self._suspects.pop(standing.upstream.name, None)
-        if was_lost:
-            return [self._record(now, standing, Outcome.ALIVE)]
-        return []
 
     def _record(
         self, now: float, standing: _standing.Standing, outcome: str
     ) -> _effect.Record:
         details = {
             'probe': outcome,
-            'heard_ms_ago': _to_ms(now - standing.heard_at),
+            'heard_ms_ago': _ending.to_ms(now - standing.last_heard),
+            'silent_ms': _ending.to_ms(now - standing.silent_since),
+            'proven': standing.is_proven,
             'flows': standing.flows,
             'zone': standing.upstream.zone,
         }
@@ -285,8 +276,3 @@
         return _effect.Record(
             'health', standing.health, upstream=name, details=details
         )
-
-
-def _to_ms(seconds: float) -> int:
-    # "Never" is written as -1.
-    return -1 if seconds > 1e6 else int(seconds * 1000)
--- a/skylarkfold/affinity/_settings.py
+++ b/skylarkfold/affinity/_settings.py
@@ -10,9 +10,16 @@
         answered for so long goes to another one as well. An answer takes
         5 to 11 ms within a region; a caller repeats after 200 ms.
     :param open_tries: upstreams that one first packet is sent to at most.
-    :param answer_patience_seconds: a request that waits for so long, with
-        nothing heard from its upstream since, has the upstream probed. At
-        a third of the slots in use 99% of answers begin within 75 ms.
+    :param answer_patience_seconds: the least time that a request waits,
+        with nothing heard from its upstream since, before the upstream
+        is doubted. The patience is learnt for each service: the mean and
+        four deviations of its answers.
+    :param longest_patience_seconds: the most that it is. Callers repeat a
+        packet after 0.2 and 0.6 s and give up within a second or two.
+    :param longest_wait_seconds: a request that waits for longer tells
+        nothing any more.
+    :param ask_seconds: how long peers have to say that they heard an
+        upstream in doubt, before it is probed; they answer within 5 ms.
     :param probe_timeout_seconds: how long a probe waits for the
         connection. It takes 3 ms; a lost packet of it costs a second.
     :param probe_tries: probes in a row that must fail before an upstream
@@ -42,12 +49,15 @@
 
     __slots__ = (
         'active_seconds',
+        'ask_seconds',
         'answer_patience_seconds',
         'flow_limit',
         'flow_seconds',
         'full_seconds',
         'lapsed_seconds',
         'load_seconds',
+        'longest_patience_seconds',
+        'longest_wait_seconds',
         'near_tolerance',
         'open_patience_seconds',
         'open_tries',
@@ -62,7 +72,10 @@
         open_patience_seconds: float = 0.040,
         open_tries: int = 3,
         answer_patience_seconds: float = 0.100,
-        probe_timeout_seconds: float = 0.060,
+        longest_patience_seconds: float = 0.6,
+        longest_wait_seconds: float = 3.0,
+        ask_seconds: float = 0.02,
+        probe_timeout_seconds: float = 0.1,
         probe_tries: int = 2,
         probe_pause_seconds: float = 0.4,
         verdict_seconds: float = 1.0,
@@ -77,6 +90,9 @@
         self.open_patience_seconds = open_patience_seconds
         self.open_tries = open_tries
         self.answer_patience_seconds = answer_patience_seconds
+        self.longest_patience_seconds = longest_patience_seconds
+        self.longest_wait_seconds = longest_wait_seconds
+        self.ask_seconds = ask_seconds
         self.probe_timeout_seconds = probe_timeout_seconds
         self.probe_tries = probe_tries
         self.probe_pause_seconds = probe_pause_seconds
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -81,13 +81,16 @@
             affinity.Forward: self._forward,
             affinity.Reset: self._reset,
             affinity.Drop: _ignore,
+            affinity.AskPeers: self._ask_peers,
             affinity.Probe: self._probe,
             affinity.Record: self._record,
             relay.CallStore: self._call_store,
             relay.Changed: self._take_change,
             relay.Fetch: self._peers.fetch,
             relay.Note: self._note,
+            relay.TakeHeard: self._take_heard,
             relay.TakeLoad: self._take_load,
+            relay.TellHeard: self._tell_heard,
             relay.SendBeacon: self._peers.send,
         }
         self._server = reactor.HttpServer(
@@ -162,6 +165,19 @@
             # is lost, as it may be on any link, and its sender repeats.
             self._affinity.counters[f'send.{error.errno}'] += 1
 
+    def _ask_peers(self, wanted: affinity.AskPeers) -> None:
+        now = self.loop.now()
+        self.count('peers.asked')
+        self._perform(self._relay.ask(now, (wanted.upstream.token,)))
+
+    def _tell_heard(self, wanted: relay.TellHeard) -> None:
+        now = self.loop.now()
+        heard = self._affinity.list_heard(now, wanted.tokens)
+        self._perform(self._relay.answer(now, wanted.host, heard))
+
+    def _take_heard(self, wanted: relay.TakeHeard) -> None:
+        self._affinity.take_heard(self.loop.now(), wanted.heard)
+
     def _probe(self, wanted: affinity.Probe) -> None:
         _probe.probe(self.loop, wanted, self._take_probe)
 
--- a/skylarkfold/reactor/_loop.py
+++ b/skylarkfold/reactor/_loop.py
@@ -156,9 +156,15 @@
     def run(self) -> None:
         """Call back until :meth:`stop` is called."""
         while not self._is_stopped:
-            for key, events in self._selector.select(self._find_wait()):
+            ready = self._selector.select(self._find_wait())
+            # Timers that fall due while the callbacks run wait for the
+            # next turn: what they watch for may have arrived meanwhile.
+            due = self._take_due()
+            for key, events in ready:
                 self._call(key.data, events)
-            self._run_timers()
+            for timer in due:
+                if timer.callback is not None:
+                    self._call(timer.callback)
         self._close()
 
     def _find_wait(self) -> float:
@@ -167,13 +173,14 @@
         wait = self._timers[0].due - self.now()
         return min(max(wait, 0.0), _LONGEST_WAIT_SECONDS)
 
-    def _run_timers(self) -> None:
+    def _take_due(self) -> list[Timer]:
         now = self.now()
+        due: list[Timer] = []
         while self._timers and self._timers[0].due <= now:
-            timer = heapq.heappop(self._timers)
-            self.lag = now - timer.due
-            if timer.callback is not None:
-                self._call(timer.callback)
+            due.append(heapq.heappop(self._timers))
+        if due:
+            self.lag = now - due[0].due
+        return due
 
     def _call(self, callback: Callable, *arguments: object) -> None:
         try:
--- a/skylarkfold/relay/__init__.py
+++ b/skylarkfold/relay/__init__.py
@@ -14,7 +14,9 @@
 from skylarkfold.relay._effect import Fetch
 from skylarkfold.relay._effect import Note
 from skylarkfold.relay._effect import SendBeacon
+from skylarkfold.relay._effect import TakeHeard
 from skylarkfold.relay._effect import TakeLoad
+from skylarkfold.relay._effect import TellHeard
 from skylarkfold.relay._item import Item
 from skylarkfold.relay._messages import Beacon
 from skylarkfold.relay._messages import decode_beacon
@@ -37,7 +39,9 @@
     'Item',
     'Note',
     'Page',
+    'TakeHeard',
     'TakeLoad',
+    'TellHeard',
     'Position',
     'RelayCore',
     'RelaySettings',
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -175,6 +175,10 @@
         ):
             effects += self._compare(now, topic, host, position)
         effects += self._take_loads(now, beacon)
+        if beacon.doubts:
+            effects.append(_effect.TellHeard(host, beacon.doubts))
+        if beacon.heard:
+            effects.append(_effect.TakeHeard(beacon.heard))
         if beacon.wants_answer or is_new:
             known = self._peers.choose_hearsay(now)
             answer = self._build(now, hearsay=known)
@@ -231,6 +235,36 @@
             topic.confirm(now - page.age_seconds)
         return self._spread(now, topic, base, changed, fetch.host)
 
+    def ask(self, now: float, tokens: tuple[int, ...]) -> list[object]:
+        """Ask the neighbours of this zone which upstreams they hear.
+
+        :param now: the time.
+        :param tokens: the upstreams' tokens.
+        :returns: effects.
+        """
+        hosts = self._peers.list_hosts(is_near=True)
+        if not hosts:
+            return []
+        beacon = self._build(now)
+        beacon.doubts = tokens
+        return [_effect.SendBeacon(hosts, beacon)]
+
+    def answer(
+        self, now: float, host: str, heard: dict[int, float]
+    ) -> list[object]:
+        """Answer a peer that asked which upstreams are heard here.
+
+        :param now: the time.
+        :param host: the peer.
+        :param heard: how many seconds ago, by token.
+        :returns: effects.
+        """
+        if not heard:
+            return []
+        beacon = self._build(now)
+        beacon.heard = heard
+        return [_effect.SendBeacon([host], beacon)]
+
     def may_leave(self, now: float) -> bool:
         """Tell whether this instance may leave rotation.
 
--- a/skylarkfold/relay/_effect.py
+++ b/skylarkfold/relay/_effect.py
@@ -83,6 +83,32 @@
         self.flows = flows
 
 
+class TellHeard:
+    """A peer doubts some upstreams: tell it through ``RelayCore.answer``.
+
+    :param host: the peer's.
+    :param tokens: the upstreams' tokens.
+    """
+
+    __slots__ = ('host', 'tokens')
+
+    def __init__(self, host: str, tokens: tuple[int, ...]) -> None:
+        self.host = host
+        self.tokens = tokens
+
+
+class TakeHeard:
+    """A peer has said which upstreams it heard.
+
+    :param heard: how many seconds ago, by token.
+    """
+
+    __slots__ = ('heard',)
+
+    def __init__(self, heard: dict[int, float]) -> None:
+        self.heard = heard
+
+
 class Note:
     """Write a log line and count.
 
--- a/skylarkfold/relay/_messages.py
+++ b/skylarkfold/relay/_messages.py
@@ -116,9 +116,15 @@
     :param news: changes, where they are small.
     :param loads: its own load, and now and then those of zones.
     :param hearsay: some of the instances that it knows.
+    :param doubts: tokens of upstreams that the receiver shall say of
+        whether it has heard them.
+    :param heard: how many seconds ago it heard the upstreams that the
+        receiver doubts, by token.
     """
 
     __slots__ = (
+        'doubts',
+        'heard',
         'hearsay',
         'is_leaving',
         'loads',
@@ -139,6 +145,8 @@
         news: News | None = None,
         loads: tuple[LoadReport, ...] = (),
         hearsay: tuple[Hearsay, ...] = (),
+        doubts: tuple[int, ...] = (),
+        heard: dict[int, float] | None = None,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -148,6 +156,8 @@
         self.news = news
         self.loads = loads
         self.hearsay = hearsay
+        self.doubts = doubts
+        self.heard = heard or {}
 
 
 class Page:
@@ -210,6 +220,8 @@
             [each.name, each.zone, each.host, int(each.age_seconds * 1000)]
             for each in beacon.hearsay
         ],
+        beacon.doubts,
+        {token: int(age * 1000) for token, age in beacon.heard.items()},
     ]
     return msgpack.packb(fields)
 
@@ -303,7 +315,8 @@
 
 
 def _convert_beacon(fields: list[object]) -> Beacon:
-    _, name, zone, flags, positions, news, loads, hearsay = fields
+    _, name, zone, flags, positions, news, loads, hearsay, *rest = fields
+    doubts, heard = rest
     return Beacon(
         _check_text(name),
         _check_text(zone),
@@ -328,6 +341,11 @@
             )
             for name, zone, host, age in _check_list(hearsay)
         ),
+        tuple(_check_count(token) for token in _check_list(doubts)),
+        {
+            _check_count(token): _check_count(age) / 1000
+            for token, age in heard.items()
+        },
     )
 
 
--- /dev/null
+++ b/skylarkfold/tests/reactor/test_loop.py
@@ -0,0 +1,150 @@
+"""Tests of the event loop, streams and HTTP on loopback."""
+
+import socket
+import time
+
+import testtools
+
+from skylarkfold import reactor
+
+
+class LoopTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.loop = reactor.Loop()
+
+    def run_until_stopped(self):
+        # Bounded, so that a fault fails the test instead of hanging it.
+        self.loop.call_later(10.0, self.loop.stop)
+        self.loop.run()
+
+    def test_timers_are_called_in_order(self):
+        called = []
+        self.loop.call_later(0.02, self.loop.stop)
+        self.loop.call_later(0.01, lambda: called.append('second'))
+        self.loop.call_later(0.0, lambda: called.append('first'))
+        cancelled = self.loop.call_later(0.0, lambda: called.append('no'))
+        cancelled.cancel()
+        self.run_until_stopped()
+        self.assertEqual(['first', 'second'], called)
+
+    def test_a_failing_callback_does_not_end_the_loop(self):
+        self.loop.call_later(0.0, lambda: 1 / 0)
+        self.loop.call_later(0.01, self.loop.stop)
+        self.run_until_stopped()
+        self.assertEqual(1, self.loop.failures)
+
+    def test_what_arrived_goes_before_a_timer_that_fell_due_meanwhile(self):
+        # A callback that takes long must not make a time-out fire whose
+        # answer is already there.
+        receiver, sender = socket.socketpair()
+        self.addCleanup(receiver.close)
+        self.addCleanup(sender.close)
+        called = []
+
+        def take_long():
+            self.loop.call_later(0.001, lambda: called.append('timer'))
+            sender.send(b'x')
+            time.sleep(0.01)
+
+        def arrive(_events):
+            receiver.recv(1)
+            called.append('arrived')
+            self.loop.call_later(0.01, self.loop.stop)
+
+        self.loop.watch(receiver, reactor.READ, arrive)
+        self.loop.call_later(0.0, take_long)
+        self.run_until_stopped()
+        self.assertEqual(['arrived', 'timer'], called)
+
+
+class HttpTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.loop = reactor.Loop()
+        self.answers = []
+
+    def take(self, status, body):
+        self.answers.append((status, body))
+        self.loop.stop()
+
+    def run_until_stopped(self):
+        self.loop.call_later(10.0, self.loop.stop)
+        self.loop.run()
+
+    def ask(self, address, timeout_seconds=5.0):
+        client = reactor.HttpClient(self.loop, address)
+        client.request('GET', '/ready?x=1', b'', timeout_seconds, self.take)
+        self.run_until_stopped()
+        client.close()
+
+    def test_a_server_answers_a_client(self):
+        paths = []
+
+        def answer(path):
+            paths.append(path)
+            return 200, b'body'
+
+        server = reactor.HttpServer(self.loop, ('127.0.0.1', 0), answer)
+        self.ask(server.address)
+        server.close()
+        self.assertEqual([(200, b'body')], self.answers)
+        self.assertEqual(['/ready'], paths)
+
+    def listen(self, reply):
+        def accept(stream):
+            def take(_data):
+                stream.write(reply)
+                stream.finish()
+
+            stream.on_data = take
+
+        listener = reactor.Listener(self.loop, ('127.0.0.1', 0), accept)
+        self.addCleanup(listener.close)
+        return listener.address
+
+    def test_a_server_that_is_not_there_gives_no_answer(self):
+        unused = socket.socket()
+        unused.bind(('127.0.0.1', 0))
+        self.addCleanup(unused.close)
+        self.ask(unused.getsockname())
+        self.assertEqual([(0, b'')], self.answers)
+
+    def test_nonsense_is_no_answer(self):
+        self.ask(self.listen(b'\x00\x01nonsense\r\n\r\n'))
+        self.assertEqual([(0, b'')], self.answers)
+
+    def test_an_answer_that_ends_early_is_none(self):
+        reply = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf'
+        self.ask(self.listen(reply))
+        self.assertEqual([(0, b'')], self.answers)
+
+    def test_an_answer_too_many_belongs_to_nothing(self):
+        one = b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n'
+        self.ask(self.listen(one + b'a' + one + b'b'))
+        self.assertEqual([(200, b'a')], self.answers)
+
+    def test_silence_ends_with_the_time_out(self):
+        silent = reactor.Listener(
+            self.loop, ('127.0.0.1', 0), lambda stream: None
+        )
+        self.addCleanup(silent.close)
+        self.ask(silent.address, timeout_seconds=0.05)
+        self.assertEqual([(0, b'')], self.answers)
+
+    def test_a_request_of_nonsense_ends_its_connection_only(self):
+        server = reactor.HttpServer(
+            self.loop, ('127.0.0.1', 0), lambda path: (200, b'')
+        )
+        self.addCleanup(server.close)
+        stream = reactor.connect(self.loop, server.address)
+        closed = []
+
+        def close(reason):
+            closed.append(reason)
+            self.loop.stop()
+
+        stream.on_close = close
+        stream.write(b'\x00\x00\r\n\r\n')
+        self.run_until_stopped()
+        self.assertEqual(1, len(closed))
