Stand-ins whose packets carry tokens, a soak, settings read again

Cause: the path on the users' platform had no test with real processes; a settings file that changed, or was half written, was not read (or not survived).

Change: a store of objects, upstreams, callers and routers on loopback; a randomized soak of real instances (signals, a store that misbehaves towards some, upstreams that crash, fall silent, drain, are replaced); settings are read again on SIGHUP and when they change, and the last good ones kept; a line for each change of an upstream's entry.

--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -98,12 +98,14 @@
         :param present: every upstream that has an entry.
         :returns: effects.
         """
-        lapsed = self._directory.replace(now, present)
+        changes = self._directory.replace(now, present)
         self._peer_loads.apply()
         self._has_upstreams = True
         effects: list[object] = []
-        for standing in lapsed:
-            effects += self._health.take_lapse(now, standing)
+        for standing, change in changes:
+            effects.append(_record_change(standing, change))
+            if change == _directory.Change.LAPSED:
+                effects += self._health.take_lapse(now, standing)
         for standing in self._directory:
             if standing.is_replaced:
                 effects += self._ending.end_flows(now, standing)
@@ -419,3 +421,18 @@
         while self._held and self._held[0][0] < now:
             self._held.popleft()
             self.counters['drop.held-too-long'] += 1
+
+
+def _record_change(
+    standing: _standing.Standing, change: str
+) -> _effect.Record:
+    upstream = standing.upstream
+    details = {
+        'service': upstream.service,
+        'zone': upstream.zone,
+        'address': f'{upstream.address[0]}:{upstream.address[1]}',
+        'flows': standing.flows,
+    }
+    return _effect.Record(
+        'upstream', change, upstream=upstream.name, details=details
+    )
--- a/skylarkfold/affinity/_directory.py
+++ b/skylarkfold/affinity/_directory.py
@@ -10,6 +10,15 @@
 from skylarkfold.affinity import _upstream
 
 
+class Change:
+    """What has become of an upstream's entry."""
+
+    ADDED = 'added'
+    DRAINING = 'draining'
+    LAPSED = 'lapsed'
+    BACK = 'back'
+
+
 class Directory:
     """Finds upstreams by token and by service.
 
@@ -60,26 +69,29 @@
 
     def replace(
         self, now: float, present: Iterable[_upstream.Upstream]
-    ) -> list[_standing.Standing]:
+    ) -> list[tuple[_standing.Standing, str]]:
         """Take the list of all upstreams that have an entry.
 
         :param now: the time.
         :param present: all of them.
-        :returns: those whose entry has just disappeared.
+        :returns: those that are seen otherwise now, each with a
+            :class:`Change`.
         """
         names = set()
+        changes = []
         for upstream in present:
             names.add(upstream.name)
-            self._put(now, upstream)
-        lapsed = []
+            change = self._put(now, upstream)
+            if change:
+                changes.append((self._by_name[upstream.name], change))
         for standing in self._by_name.values():
             is_absent = standing.upstream.name not in names
             if is_absent and standing.lapsed_at is None:
                 standing.lapsed_at = now
-                lapsed.append(standing)
+                changes.append((standing, Change.LAPSED))
         self.forget(now)
         self._index()
-        return lapsed
+        return changes
 
     def forget(self, now: float) -> None:
         """Drop upstreams whose last flow must have ended.
@@ -97,13 +109,18 @@
         if gone:
             self._index()
 
-    def _put(self, now: float, upstream: _upstream.Upstream) -> None:
+    def _put(self, now: float, upstream: _upstream.Upstream) -> str:
         standing = self._by_name.get(upstream.name)
         if standing is None:
             self._by_name[upstream.name] = _standing.Standing(upstream, now)
-            return
-        standing.upstream = upstream
-        standing.lapsed_at = None
+            return Change.ADDED
+        before, standing.upstream = standing.upstream, upstream
+        if standing.lapsed_at is not None:
+            standing.lapsed_at = None
+            return Change.BACK
+        if upstream.is_draining and not before.is_draining:
+            return Change.DRAINING
+        return ''
 
     def _index(self) -> None:
         self._by_token = {}
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -8,6 +8,7 @@
 import socket
 
 from skylarkfold import affinity
+from skylarkfold import errors
 from skylarkfold.forwarder import _lines
 from skylarkfold.forwarder import _peers
 from skylarkfold.forwarder import _platform
@@ -23,7 +24,11 @@
 # first packet.
 _TICK_SECONDS = 0.01
 _FLUSH_SECONDS = 0.1
+# Names of changed objects in one log line.
+_LOGGED_NAMES = 20
 _COUNTERS_SECONDS = 10.0
+# How often the settings are looked at; they may change without a signal.
+_SETTINGS_SECONDS = 1.0
 # How long a planned stop waits for others of the zone to be in rotation. Two
 # missed checks later, at most 1.2 s, it must be out: within 4 s in all.
 _HOLD_SECONDS = 2.2
@@ -107,6 +112,7 @@
         loop.call_every(_TICK_SECONDS, self._tick)
         loop.call_every(_FLUSH_SECONDS, self._flush)
         loop.call_every(_COUNTERS_SECONDS, self._say_counters)
+        loop.call_every(_SETTINGS_SECONDS, lambda: self._reload(False))
         self._log('started', zone=self._settings.zone)
         self._perform(self._relay.tick(loop.now()))
         loop.run()
@@ -119,8 +125,21 @@
             self._log('stopping')
             self._check_stop(self._stopping_at)
 
-    def _reload(self) -> None:
-        self._log('settings', reason='reload-asked-for')
+    def _reload(self, is_forced: bool = True) -> None:
+        try:
+            settings = self._platform.reread_settings(is_forced)
+        except errors.SettingsError as error:
+            self._log('settings', level='error', reason='kept', error=error)
+            return
+        if settings is None:
+            return
+        before, self._settings = self._settings, settings
+        self._relay.set_seeds(settings.seeds)
+        reason = 'reloaded'
+        if settings.list_addresses() != before.list_addresses():
+            # The sockets are bound: only a restart moves them.
+            reason = 'restart-needed'
+        self._log('settings', reason=reason, seeds=settings.seeds)
 
     @property
     def is_ready(self) -> bool:
@@ -206,6 +225,13 @@
 
     def _take_change(self, wanted: relay.Changed) -> None:
         now = self.loop.now()
+        self._log(
+            'known',
+            topic=wanted.topic,
+            revision=wanted.revision,
+            source=wanted.source or 'store',
+            names=wanted.paths[:_LOGGED_NAMES],
+        )
         items = self._relay.list_items(wanted.topic)
         if wanted.topic == self._platform.routes_topic:
             routes = self._platform.decode_routes(items)
@@ -315,6 +341,7 @@
         self._peers.close()
         self._server.close()
         self._packets.close()
+        self.loop.close()
         self._say_counters()
         self._log('stopped')
         self._lines.flush()
--- a/skylarkfold/forwarder/_settings.py
+++ b/skylarkfold/forwarder/_settings.py
@@ -59,6 +59,15 @@
         self.affinity = affinity or _make_affinity()
         self.relay = relay or _make_relay()
 
+    def list_addresses(self) -> tuple[tuple[str, int], ...]:
+        """List what sockets are bound to or opened towards."""
+        return (
+            self.packet_address,
+            self.ready_address,
+            self.peer_address,
+            self.store_address,
+        )
+
 
 def _make_affinity() -> affinity.AffinitySettings:
     return affinity.AffinitySettings()
--- a/skylarkfold/platform/__main__.py
+++ b/skylarkfold/platform/__main__.py
@@ -25,9 +25,10 @@
     :returns: the exit status.
     """
     try:
-        settings = _settings.read_settings(_settings.find_path())
+        path = _settings.find_path()
+        settings = _settings.read_settings(path)
         packets = datagram.bind(settings.packet_address)
-        _serve(settings, packets)
+        _serve(settings, path, packets)
     except errors.SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
@@ -38,12 +39,12 @@
 
 
 def _serve(
-    settings: _settings.PlatformSettings, packets: socket.socket
+    settings: _settings.PlatformSettings, path: str, packets: socket.socket
 ) -> None:
     from skylarkfold import forwarder
     from skylarkfold.platform import _adapter
 
-    adapter = _adapter.Adapter(settings)
+    adapter = _adapter.Adapter(settings, path)
     own = _adapter.build_settings(settings)
     forwarder.Forwarder(own, adapter, packets).run()
 
--- a/skylarkfold/platform/_adapter.py
+++ b/skylarkfold/platform/_adapter.py
@@ -16,13 +16,18 @@
     """Translates the platform's bytes; see ``forwarder.Platform``.
 
     :param settings: the platform's settings file as read.
+    :param path: the file.
     """
 
     routes_topic = _objects.ROUTES_TOPIC
     upstreams_topic = _objects.UPSTREAMS_TOPIC
 
-    def __init__(self, settings: _settings.PlatformSettings) -> None:
+    def __init__(
+        self, settings: _settings.PlatformSettings, path: str
+    ) -> None:
         self._settings = settings
+        self._path = path
+        self._read_as = _settings.identify(path)
         self.decode_packet = _packet.decode
         self.encode_forward = _packet.encode_forward
         self.decode_routes = _objects.decode_routes
@@ -36,6 +41,25 @@
             flow, acknowledged, self._settings.packet_address[1]
         )
 
+    def reread_settings(
+        self, is_forced: bool
+    ) -> forwarder.ForwarderSettings | None:
+        """Read the settings file again if it has changed.
+
+        It may be replaced without a signal.
+
+        :param is_forced: whether to read it in any case.
+        :returns: the settings, None if nothing has changed.
+        :raises SettingsError: if it can't be used; the last good ones
+            stay in force.
+        """
+        read_as = _settings.identify(self._path)
+        if read_as == self._read_as and not is_forced:
+            return None
+        self._read_as = read_as
+        self._settings = _settings.read_settings(self._path)
+        return build_settings(self._settings)
+
     def open_store(self, loop: reactor.Loop) -> _store.StoreClient:
         """Make a client of the store."""
         address = self._settings.store_address
--- a/skylarkfold/platform/_settings.py
+++ b/skylarkfold/platform/_settings.py
@@ -81,6 +81,19 @@
     return path
 
 
+def identify(path: str) -> tuple[int, ...]:
+    """Tell a file from what it was before.
+
+    :param path: the file.
+    :returns: what changes with it; empty if it can't be looked at.
+    """
+    try:
+        found = os.stat(path)
+    except OSError:
+        return ()
+    return (found.st_mtime_ns, found.st_size, found.st_ino)
+
+
 def read_settings(path: str) -> PlatformSettings:
     """Read the settings file.
 
--- a/skylarkfold/reactor/_loop.py
+++ b/skylarkfold/reactor/_loop.py
@@ -150,11 +150,12 @@
                 callback()
 
     def stop(self) -> None:
-        """End :meth:`run` after the present callback."""
+        """End :meth:`run` after the present callbacks."""
         self._is_stopped = True
 
     def run(self) -> None:
-        """Call back until :meth:`stop` is called."""
+        """Call back until :meth:`stop` is called; may be called again."""
+        self._is_stopped = False
         while not self._is_stopped:
             ready = self._selector.select(self._find_wait())
             # Timers that fall due while the callbacks run wait for the
@@ -165,7 +166,6 @@
             for timer in due:
                 if timer.callback is not None:
                     self._call(timer.callback)
-        self._close()
 
     def _find_wait(self) -> float:
         if not self._timers:
@@ -189,7 +189,8 @@
             self.failures += 1
             _logger.exception('a callback failed')
 
-    def _close(self) -> None:
+    def close(self) -> None:
+        """Give its descriptors back."""
         if self._wakeup is not None:
             signal.set_wakeup_fd(-1)
             for each in self._wakeup:
--- a/skylarkfold/reactor/_stream.py
+++ b/skylarkfold/reactor/_stream.py
@@ -62,6 +62,14 @@
         events = _loop.READ if is_connected else _loop.WRITE
         loop.watch(connection, events, self._take_events)
 
+    @property
+    def peer_host(self) -> str:
+        """The other side's address; empty once it is gone."""
+        try:
+            return self._connection.getpeername()[0]
+        except OSError:
+            return ''
+
     def write(self, data: bytes) -> None:
         """Send bytes, now or as soon as the other side takes them.
 
--- /dev/null
+++ b/skylarkfold/soak/__init__.py
@@ -0,0 +1,17 @@
+"""A randomized soak of real instances on loopback.
+
+Instances are processes as in production; the store, the upstreams, the
+callers and the routers are stand-ins in this process. A seed draws the
+faults: signals, a store that misbehaves towards some instances, upstreams
+that crash, fall silent, drain and are replaced, changes of the
+configuration. What callers and upstreams see is judged all along.
+
+``python -m skylarkfold.soak --seeds 1,2,3`` runs some seeds.
+"""
+
+from skylarkfold.soak._judge import Judge
+from skylarkfold.soak._plan import draw_plan
+from skylarkfold.soak._run import run_seed
+from skylarkfold.soak._world import World
+
+__all__ = ['Judge', 'World', 'draw_plan', 'run_seed']
--- /dev/null
+++ b/skylarkfold/soak/_instance.py
@@ -0,0 +1,122 @@
+"""One instance as a process."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+from skylarkfold import reactor
+from skylarkfold.standin import packets
+
+_RESTART_SECONDS = 0.3
+_LOOK_SECONDS = 0.05
+
+
+class Instance:
+    """A process that is started again whenever it ends.
+
+    :param loop: the event loop.
+    :param folder: where its settings and its log lie.
+    :param name: its name.
+    :param zone: its availability zone.
+    :param host: its address.
+    :ivar own_ends: exit statuses of ends that nobody asked for.
+    """
+
+    def __init__(
+        self,
+        loop: reactor.Loop,
+        folder: pathlib.Path,
+        name: str,
+        zone: str,
+        host: str,
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.host = host
+        self.own_ends: list[int] = []
+        self.is_wanted = True
+        self._loop = loop
+        self._path = folder / f'{name}.toml'
+        self._log_path = folder / f'{name}.log'
+        self._process: subprocess.Popen | None = None
+        self._is_ending = False
+        self._settings: tuple = ()
+
+    def configure(
+        self, base_port: int, seeds: list[str], store: tuple[str, int]
+    ) -> None:
+        """Write its settings file.
+
+        :param base_port: the first port that all instances use.
+        :param seeds: hosts of others.
+        :param store: the store's address.
+        """
+        self._settings = (base_port, seeds, store)
+        packets.write_settings(
+            self._path, self.name, self.zone, self.host, *self._settings
+        )
+
+    def start(self) -> None:
+        """Start the process and watch it."""
+        environment = dict(os.environ, SKYLARKFOLD_CONFIG=str(self._path))
+        with open(self._log_path, 'ab') as log:
+            self._process = subprocess.Popen(
+                [sys.executable, '-m', 'skylarkfold.platform'],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+        self._is_ending = False
+        self._loop.call_later(_LOOK_SECONDS, self._look)
+
+    def send(self, number: int) -> None:
+        """Send a signal.
+
+        :param number: the signal.
+        """
+        if self._process is None or self._process.poll() is not None:
+            return
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            self._is_ending = True
+        self._process.send_signal(number)
+
+    def tear_settings(self, seconds: float) -> None:
+        """Leave half of the settings file for a while.
+
+        :param seconds: how long.
+        """
+        whole = self._path.read_text()
+        self._path.write_text(whole[: len(whole) // 2])
+        self._loop.call_later(seconds, lambda: self._path.write_text(whole))
+
+    def end(self) -> None:
+        """End the process for good."""
+        self.is_wanted = False
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait()
+
+    def read_log(self) -> str:
+        """Read what all its processes have logged."""
+        if not self._log_path.exists():
+            return ''
+        return self._log_path.read_text(errors='replace')
+
+    def _look(self) -> None:
+        status = self._process.poll()
+        if status is None:
+            self._loop.call_later(_LOOK_SECONDS, self._look)
+            return
+        if not self._is_ending:
+            self.own_ends.append(status)
+        if self.is_wanted:
+            self._loop.call_later(_RESTART_SECONDS, self._start_again)
+
+    def _start_again(self) -> None:
+        if self.is_wanted:
+            self.start()
--- /dev/null
+++ b/skylarkfold/soak/_judge.py
@@ -0,0 +1,83 @@
+"""Checks the promises from what callers and upstreams see."""
+
+from __future__ import annotations
+
+import collections
+
+from skylarkfold.standin import packets
+
+# A fault explains what is seen up to so long after its end.
+SHADOW_SECONDS = 4.0
+# A drained upstream gets no new flow after so long.
+DRAIN_SECONDS = 3.0
+
+
+class Judge:
+    """Collects events and names broken promises.
+
+    :ivar broken: one line for each broken promise.
+    """
+
+    def __init__(self) -> None:
+        self.broken: list[str] = []
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self._runs: collections.Counter[bytes] = collections.Counter()
+        self._once: set[bytes] = set()
+        self._drained: dict[str, float] = {}
+        self._faults: list[tuple[float, float]] = []
+        self._allowed: dict[tuple[str, int], set[str]] = {}
+
+    def allow(self, address: tuple[str, int], service: str) -> None:
+        """Note that a configuration leads an address to a service."""
+        self._allowed.setdefault(address, set()).add(service)
+
+    def note_fault(self, begun: float, ended: float) -> None:
+        """Note an unplanned fault with its end."""
+        self._faults.append((begun, ended))
+
+    def note_drain(self, name: str, now: float) -> None:
+        """Note that the store has accepted a drain."""
+        self._drained[name] = now
+
+    def note_once(self, request: bytes) -> None:
+        """Note a request that may run once at most."""
+        self._once.add(request)
+
+    def note_run(self, request: bytes) -> None:
+        """Note that an upstream runs a request."""
+        self._runs[request] += 1
+        if request in self._once and self._runs[request] > 1:
+            self.broken.append(f'{request.hex()} ran twice')
+
+    def note_open(self, upstream: packets.Upstream, now: float) -> None:
+        """Note that a new flow has opened at an upstream."""
+        since = self._drained.get(upstream.name)
+        if since is None or self._is_shadowed(since, now):
+            return
+        if now - since > DRAIN_SECONDS:
+            self.broken.append(
+                f'{upstream.name} got a flow {now - since:.1f} s after'
+                ' its drain'
+            )
+
+    def note_reset(self, now: float, upstream: packets.Upstream) -> None:
+        """Note that an open flow got a reset from an instance."""
+        if upstream.is_ended or self._is_shadowed(now, now):
+            return
+        self.broken.append(f'a flow of {upstream.name} was reset')
+
+    def take(self, exchange: packets.Exchange, address: tuple) -> None:
+        """Judge the end of a request."""
+        self.outcomes[exchange.outcome] += 1
+        if exchange.outcome != 'answered':
+            return
+        if exchange.answer not in self._allowed[address]:
+            self.broken.append(f'{exchange.answer} answered for {address}')
+        if not self._runs[exchange.request]:
+            self.broken.append('an answer to what did not run')
+
+    def _is_shadowed(self, since: float, now: float) -> bool:
+        return any(
+            begun <= now and ended + SHADOW_SECONDS >= since
+            for begun, ended in self._faults
+        )
--- /dev/null
+++ b/skylarkfold/soak/_plan.py
@@ -0,0 +1,87 @@
+"""What a seed draws."""
+
+from __future__ import annotations
+
+import random
+
+# The faults that are no planned work.
+UNPLANNED = (
+    'kill',
+    'freeze',
+    'kill-all',
+    'store-silent',
+    'store-busy',
+    'store-many',
+    'store-reset',
+    'store-slow',
+    'store-forgets',
+    'upstream-crash',
+    'upstream-dark',
+    'upstream-reused',
+)
+PLANNED = (
+    'term',
+    'hangup',
+    'tear-settings',
+    'drain',
+    'add-upstream',
+    'change-timeouts',
+    'add-route',
+    'remove-route',
+    'storm',
+)
+
+
+class Step:
+    """One event.
+
+    :param at: seconds from the start of traffic.
+    :param kind: one of this module's words.
+    :param seconds: how long it lasts, where it does.
+    :param share: which part of the things that fit.
+    """
+
+    __slots__ = ('at', 'kind', 'seconds', 'share')
+
+    def __init__(
+        self, at: float, kind: str, seconds: float, share: float
+    ) -> None:
+        self.at = at
+        self.kind = kind
+        self.seconds = seconds
+        self.share = share
+
+    def __repr__(self) -> str:
+        return (
+            f'{self.at:.2f} s {self.kind} for {self.seconds:.1f} s,'
+            f' {self.share:.0%}'
+        )
+
+
+def draw_plan(seed: int, seconds: float, planned_only: bool) -> list[Step]:
+    """Draw a plan.
+
+    :param seed: the seed; the same one draws the same plan.
+    :param seconds: how long traffic lasts; the last quarter is calm.
+    :param planned_only: whether to leave unplanned faults out.
+    :returns: steps in order.
+    """
+    generator = random.Random(seed)
+    kinds = PLANNED if planned_only else PLANNED + UNPLANNED
+    steps = []
+    for _ in range(generator.randint(3, 8)):
+        at = generator.uniform(1.0, 0.7 * seconds)
+        kind = generator.choice(kinds)
+        longest = 0.75 * seconds - at + 0.5
+        step = Step(
+            at,
+            kind,
+            min(generator.uniform(0.3, 4.0), longest),
+            generator.choice((0.2, 0.4, 0.7, 1.0)),
+        )
+        steps.append(step)
+        if generator.random() < 0.3:
+            # The same again, while the first one lasts or soon after.
+            again = min(at + generator.uniform(0.1, 3.0), 0.7 * seconds)
+            steps.append(Step(again, kind, step.seconds, step.share))
+    return sorted(steps, key=lambda step: step.at)
--- /dev/null
+++ b/skylarkfold/soak/_run.py
@@ -0,0 +1,256 @@
+"""Runs one seed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import pathlib
+import signal
+
+from skylarkfold.soak import _plan
+from skylarkfold.soak import _world
+from skylarkfold.standin import packets
+
+_ZONES = {'a': 2, 'b': 2, 'c': 1}
+_SESSIONS = 8
+# Instances take so long to start at most before traffic begins.
+_START_SECONDS = 3.0
+# The end of the run must be served again.
+_LEAST_SERVED = 0.98
+_SLOW_SECONDS = 0.5
+
+
+class Result:
+    """What a run showed.
+
+    :param seed: the seed.
+    :param plan: its steps.
+    :param broken: broken promises, one line each.
+    :param outcomes: how requests ended, by outcome.
+    """
+
+    __slots__ = ('broken', 'outcomes', 'plan', 'seed')
+
+    def __init__(
+        self,
+        seed: int,
+        plan: list[_plan.Step],
+        broken: list[str],
+        outcomes: dict[str, int],
+    ) -> None:
+        self.seed = seed
+        self.plan = plan
+        self.broken = broken
+        self.outcomes = outcomes
+
+
+def run_seed(
+    seed: int,
+    folder: pathlib.Path,
+    seconds: float = 20.0,
+    planned_only: bool = False,
+) -> Result:
+    """Run one seed.
+
+    :param seed: the seed.
+    :param folder: where settings and logs lie.
+    :param seconds: how long traffic lasts.
+    :param planned_only: whether only planned work is done; every request
+        must be answered then.
+    :returns: what it showed.
+    """
+    plan = _plan.draw_plan(seed, seconds, planned_only)
+    world = _world.World(folder, seed, _ZONES)
+    director = _Director(world)
+    try:
+        world.start()
+        world.loop.call_later(
+            _START_SECONDS, lambda: _begin(world, director, plan)
+        )
+        calm = _START_SECONDS + 0.85 * seconds
+        world.loop.call_later(calm, director.begin_calm)
+        world.loop.call_later(_START_SECONDS + seconds, world.loop.stop)
+        world.loop.run()
+    finally:
+        world.end()
+    broken = [*world.judge.broken, *_list_broken(world)]
+    broken += director.judge_calm(planned_only)
+    return Result(seed, plan, broken, dict(world.judge.outcomes))
+
+
+def _begin(
+    world: _world.World, director: _Director, plan: list[_plan.Step]
+) -> None:
+    for caller in world.callers:
+        for _ in range(_SESSIONS):
+            world.use(caller, caller.zone)
+    for step in plan:
+        world.loop.call_later(
+            step.at, lambda step=step: director.perform(step)
+        )
+
+
+def _list_broken(world: _world.World) -> list[str]:
+    broken = []
+    for instance in world.instances:
+        broken += [
+            f'{instance.name} ended by itself with {status}'
+            for status in instance.own_ends
+        ]
+        if 'Traceback' in instance.read_log():
+            broken.append(f'{instance.name} logged a failure')
+    for each in (*world.callers, *world.upstreams):
+        if each.forged:
+            broken.append(f'{each.forged} packets were not as written')
+    return broken
+
+
+class _Director:
+    """Performs the steps of a plan."""
+
+    def __init__(self, world: _world.World) -> None:
+        self._world = world
+        self._before: dict[str, int] = {}
+        self._steps: dict[str, Callable[[_plan.Step], object]] = {
+            'kill': self._kill,
+            'freeze': self._freeze,
+            'kill-all': lambda step: world.kill_all(),
+            'store-silent': lambda step: self._fault(step, 'silent'),
+            'store-busy': lambda step: self._fault(step, 'busy'),
+            'store-many': lambda step: self._fault(step, 'many'),
+            'store-reset': lambda step: self._fault(step, 'reset'),
+            'store-slow': self._slow,
+            'store-forgets': lambda step: world.store.forget(),
+            'upstream-crash': lambda step: self._crash(step, False),
+            'upstream-dark': lambda step: self._crash(step, True),
+            'upstream-reused': self._reuse,
+            'term': self._term,
+            'hangup': self._hangup,
+            'tear-settings': self._tear,
+            'drain': self._drain,
+            'add-upstream': self._add,
+            'change-timeouts': lambda step: world.configure(),
+            'add-route': lambda step: self._route(True),
+            'remove-route': lambda step: self._route(False),
+            'storm': self._storm,
+        }
+
+    def perform(self, step: _plan.Step) -> None:
+        """Perform one step."""
+        if step.kind in _plan.UNPLANNED:
+            now = self._world.loop.now()
+            self._world.judge.note_fault(now, now + step.seconds)
+        self._steps[step.kind](step)
+
+    def begin_calm(self) -> None:
+        """Note how requests ended until now."""
+        self._before = dict(self._world.judge.outcomes)
+
+    def judge_calm(self, planned_only: bool) -> list[str]:
+        """Judge the end of the run, or all of it."""
+        outcomes = dict(self._world.judge.outcomes)
+        before = {} if planned_only else self._before
+        counts = {
+            name: outcomes.get(name, 0) - before.get(name, 0)
+            for name in ('answered', 'reset', 'not-opened', 'deadline')
+        }
+        total = sum(counts.values())
+        least = 1.0 if planned_only else _LEAST_SERVED
+        if total and counts['answered'] >= least * total:
+            return []
+        return [f'of {total} requests in the end: {counts}']
+
+    def _choose(self, items: list, share: float) -> list:
+        count = max(1, round(share * len(items))) if items else 0
+        return self._world.random.sample(items, count)
+
+    def _kill(self, step: _plan.Step) -> None:
+        for instance in self._choose(self._world.instances, step.share):
+            instance.send(signal.SIGKILL)
+
+    def _freeze(self, step: _plan.Step) -> None:
+        for instance in self._choose(self._world.instances, step.share):
+            instance.send(signal.SIGSTOP)
+            self._world.loop.call_later(
+                step.seconds,
+                lambda instance=instance: instance.send(signal.SIGCONT),
+            )
+
+    def _term(self, step: _plan.Step) -> None:
+        # One at a time: a fleet of five has no more to spare.
+        (instance,) = self._choose(self._world.instances[:4], 0.01)
+        instance.send(signal.SIGTERM)
+
+    def _hangup(self, step: _plan.Step) -> None:
+        for instance in self._choose(self._world.instances, step.share):
+            instance.send(signal.SIGHUP)
+
+    def _tear(self, step: _plan.Step) -> None:
+        for instance in self._choose(self._world.instances, step.share):
+            instance.tear_settings(0.3)
+            instance.send(signal.SIGHUP)
+
+    def _fault(self, step: _plan.Step, fault: str) -> None:
+        chosen = self._choose(self._world.instances, step.share)
+        hosts = [instance.host for instance in chosen]
+        self._world.set_fault(fault, hosts)
+        self._world.loop.call_later(
+            step.seconds, lambda: self._world.set_fault('', hosts)
+        )
+
+    def _slow(self, step: _plan.Step) -> None:
+        server = self._world.server
+        server.delay_seconds = _SLOW_SECONDS
+        self._world.loop.call_later(
+            step.seconds, lambda: setattr(server, 'delay_seconds', 0.004)
+        )
+
+    def _crash(self, step: _plan.Step, is_dark: bool) -> None:
+        victim = self._choose_spare()
+        if victim is None:
+            return
+        if is_dark:
+            victim.fall_silent()
+        else:
+            victim.end()
+        self._world.loop.call_later(3.6, lambda: self._world.forget(victim))
+
+    def _reuse(self, step: _plan.Step) -> None:
+        victim = self._choose_spare()
+        if victim is None:
+            return
+        victim.end()
+        others = [each for each in _world.SERVICES if each != victim.service]
+
+        def take_address() -> None:
+            self._world.forget(victim)
+            self._world.add_upstream(others[0], victim.zone, victim.address)
+
+        self._world.loop.call_later(2.0, take_address)
+
+    def _drain(self, step: _plan.Step) -> None:
+        victim = self._choose_spare()
+        if victim is not None:
+            self._world.drain(victim)
+
+    def _choose_spare(self) -> packets.Upstream | None:
+        """Choose an upstream whose service can do without it."""
+        candidates = [
+            each
+            for each in self._world.list_upstreams()
+            if len(self._world.list_upstreams(each.service)) > 2
+        ]
+        return self._world.random.choice(candidates) if candidates else None
+
+    def _add(self, step: _plan.Step) -> None:
+        self._world.add_upstream(
+            self._world.random.choice(_world.SERVICES),
+            self._world.random.choice(self._world.zones),
+        )
+
+    def _route(self, has_route: bool) -> None:
+        self._world.has_probe_route = has_route
+        self._world.configure()
+
+    def _storm(self, step: _plan.Step) -> None:
+        for number in range(10):
+            self._world.loop.call_later(0.06 * number, self._world.configure)
--- /dev/null
+++ b/skylarkfold/soak/_world.py
@@ -0,0 +1,319 @@
+"""Instances, store, upstreams, callers and routers on loopback."""
+
+from __future__ import annotations
+
+import itertools
+import pathlib
+import random
+import signal
+import socket
+
+from skylarkfold import reactor
+from skylarkfold.soak import _instance
+from skylarkfold.soak import _judge
+from skylarkfold.standin import packets
+
+_PORTS = 10
+_LEAVE_SECONDS = 4.0
+_FLOW_REQUESTS = 12
+_DEADLINE_SECONDS = 2.0
+_RETRIES = 2
+
+SERVICES = ('desk', 'vault')
+# What callers use: address, service, whether requests may run again.
+ROUTES = (
+    (('198.51.100.1', 443), 'desk', True),
+    (('198.51.100.1', 444), 'desk', False),
+    (('198.51.100.2', 443), 'vault', True),
+)
+PROBE_ADDRESS = ('198.51.100.9', 443)
+
+
+class World:
+    """Everything that a run needs.
+
+    :param folder: where settings and logs lie.
+    :param seed: draws what is drawn here.
+    :param zones: instances in each zone, by name.
+    :param upstreams: upstreams of each service in each zone.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        seed: int,
+        zones: dict[str, int],
+        upstreams: int = 2,
+    ) -> None:
+        self.loop = reactor.Loop()
+        self.judge = _judge.Judge()
+        self.random = random.Random(seed)
+        self.store = packets.ObjectStore()
+        self.instances: list[_instance.Instance] = []
+        self.upstreams: list[packets.Upstream] = []
+        self.callers: list[packets.Caller] = []
+        self.version = 0
+        self.has_probe_route = False
+        self.is_over = False
+        self._numbers = itertools.count(1)
+        self._requests = itertools.count(1)
+        self._port = _find_port()
+        self._faulty: dict[str, str] = {}
+        self.server = packets.StoreServer(
+            self.loop, ('127.0.0.1', 0), self.store
+        )
+        self.server.fault = lambda host: self._faulty.get(host, '')
+        self.fabric = packets.Fabric(self.loop)
+        self._folder = folder
+        for number, (zone, count) in enumerate(zones.items()):
+            self._build_zone(number + 1, zone, count, upstreams)
+
+    @property
+    def zones(self) -> list[str]:
+        """All availability zones."""
+        return sorted({each.zone for each in self.instances})
+
+    def start(self) -> None:
+        """Write the first configuration and start all instances."""
+        self.configure()
+        seeds = [each.host for each in self.instances[:3]]
+        for instance in self.instances:
+            instance.configure(self._port, seeds, self.server.address)
+            self.fabric.add(
+                instance.name,
+                instance.zone,
+                (instance.host, self._port),
+                (instance.host, self._port + 1),
+            )
+            instance.start()
+
+    def configure(self) -> None:
+        """Write a newer configuration."""
+        self.version += self.random.randint(1, 5)
+        routes = [*ROUTES]
+        if self.has_probe_route:
+            routes.append((PROBE_ADDRESS, 'desk', True))
+        for address, service, _ in routes:
+            self.judge.allow(address, service)
+        self.store.put(
+            'config',
+            'main',
+            {
+                'version': self.version,
+                'routes': [
+                    {
+                        'name': f'r-{number}',
+                        'host': address[0],
+                        'path_prefix': f'/{address[1]}/',
+                        'type': (
+                            'idempotent' if may_repeat else 'non_idempotent'
+                        ),
+                        'priority': number,
+                        'service': service,
+                        'timeout_ms': 1000 + self.version,
+                    }
+                    for number, (address, service, may_repeat) in enumerate(
+                        routes
+                    )
+                ],
+                'services': [],
+                'limits': {'idle_timeout_ms': 15000},
+            },
+        )
+
+    def add_upstream(
+        self, service: str, zone: str, address: tuple[str, int] | None = None
+    ) -> packets.Upstream:
+        """Start an upstream and register it.
+
+        :param service: its service.
+        :param zone: its zone.
+        :param address: a new one where left out.
+        :returns: the upstream.
+        """
+        number = next(self._numbers)
+        if address is None:
+            address = (f'127.2.0.{number}', self._port)
+        upstream = packets.Upstream(
+            self.loop,
+            f'i-{number:04x}{self.random.getrandbits(24):06x}',
+            service,
+            zone,
+            address,
+            self._port,
+        )
+        upstream.ran = lambda _, request: self.judge.note_run(request)
+        upstream.was_opened = lambda each: self.judge.note_open(
+            each, self.loop.now()
+        )
+        self.upstreams.append(upstream)
+        self.register(upstream)
+        return upstream
+
+    def register(self, upstream: packets.Upstream) -> None:
+        """Write an upstream's entry."""
+        self.store.put('servers', upstream.name, upstream.describe())
+
+    def forget(self, upstream: packets.Upstream) -> None:
+        """Remove an upstream's entry."""
+        self.store.delete('servers', upstream.name)
+
+    def drain(self, upstream: packets.Upstream) -> None:
+        """Drain an upstream and end it a while later."""
+        upstream.is_draining = True
+        self.register(upstream)
+        self.judge.note_drain(upstream.name, self.loop.now())
+        self.loop.call_later(_LEAVE_SECONDS, lambda: self._leave(upstream))
+
+    def list_upstreams(self, service: str = '') -> list[packets.Upstream]:
+        """List the upstreams that serve."""
+        return [
+            each
+            for each in self.upstreams
+            if not each.is_ended
+            and not each.is_draining
+            and service in ('', each.service)
+        ]
+
+    def set_fault(self, fault: str, hosts: list[str]) -> None:
+        """Have the store treat some instances badly.
+
+        :param fault: a word of the stand-in; empty to end it.
+        :param hosts: the instances' addresses.
+        """
+        for host in hosts:
+            if fault:
+                self._faulty[host] = fault
+            else:
+                self._faulty.pop(host, None)
+
+    def use(self, caller: packets.Caller, zone: str) -> None:
+        """Send requests from a caller until the run is over.
+
+        :param caller: the caller.
+        :param zone: its zone.
+        """
+        _Session(self, caller).begin()
+
+    def name_request(self) -> bytes:
+        """Make a request that no other one is."""
+        return next(self._requests).to_bytes(8, 'big')
+
+    def find_upstream(self, token: int) -> packets.Upstream | None:
+        """Find the upstream that a flow's token names."""
+        for each in self.upstreams:
+            if int(each.name[2:], 16) & 0xFFFFFFFF == token:
+                return each
+        return None
+
+    def end(self) -> None:
+        """End everything that was started."""
+        self.is_over = True
+        for instance in self.instances:
+            instance.end()
+        for upstream in self.upstreams:
+            upstream.end()
+            upstream.release()
+        for caller in self.callers:
+            caller.close()
+        self.fabric.close()
+        self.server.close()
+        self.loop.close()
+
+    def _leave(self, upstream: packets.Upstream) -> None:
+        self.forget(upstream)
+        self.loop.call_later(0.3, upstream.end)
+
+    def _build_zone(
+        self, number: int, zone: str, count: int, upstreams: int
+    ) -> None:
+        for place in range(count):
+            self.instances.append(
+                _instance.Instance(
+                    self.loop,
+                    self._folder,
+                    f'entry-{zone}-{place}',
+                    zone,
+                    f'127.1.{number}.{place + 1}',
+                )
+            )
+        for service in SERVICES:
+            for _ in range(upstreams):
+                self.add_upstream(service, zone)
+        caller = packets.Caller(
+            self.loop,
+            f'127.3.{number}.1',
+            self._port,
+            lambda source, address, data: self.fabric.send(
+                zone, source, address, data
+            ),
+        )
+        caller.zone = zone
+        self.callers.append(caller)
+
+    def kill_all(self) -> None:
+        """Kill every instance at the same moment."""
+        for instance in self.instances:
+            instance.send(signal.SIGKILL)
+
+
+class _Session:
+    """One user: request after request, with retries."""
+
+    def __init__(self, world: World, caller: packets.Caller) -> None:
+        self._world = world
+        self._caller = caller
+        address, _, may_repeat = world.random.choice(ROUTES)
+        self._address = address
+        self._may_repeat = may_repeat
+        self._flow = None
+        self._left = 0
+
+    def begin(self) -> None:
+        """Send the next request after a pause."""
+        if self._world.is_over:
+            return
+        pause = self._world.random.uniform(0.05, 0.6)
+        self._world.loop.call_later(pause, lambda: self._ask(_RETRIES))
+
+    def _ask(self, retries: int) -> None:
+        world = self._world
+        if world.is_over:
+            return
+        if self._flow is None or self._flow.is_over or not self._left:
+            if self._flow is not None:
+                self._flow.finish()
+            self._flow = self._caller.open(self._address)
+            self._left = world.random.randint(1, _FLOW_REQUESTS)
+        self._left -= 1
+        request = world.name_request()
+        if not self._may_repeat:
+            world.judge.note_once(request)
+        flow = self._flow
+        flow.request(
+            packets.Exchange(request),
+            _DEADLINE_SECONDS,
+            lambda exchange: self._take(flow, exchange, retries),
+        )
+
+    def _take(self, flow, exchange, retries: int) -> None:
+        world = self._world
+        if flow.resets and flow.resets[-1] and flow.is_open:
+            upstream = world.find_upstream(flow.upstream_echo)
+            if upstream is not None:
+                world.judge.note_reset(world.loop.now(), upstream)
+        may_retry = self._may_repeat or not exchange.is_opened
+        if exchange.outcome != packets.ANSWERED and retries and may_retry:
+            world.judge.outcomes['retried'] += 1
+            self._ask(retries - 1)
+            return
+        world.judge.take(exchange, self._address)
+        self.begin()
+
+
+def _find_port() -> int:
+    """Find a port whose next ones are likely free as well."""
+    with socket.socket() as free:
+        free.bind(('127.0.0.1', 0))
+        found = free.getsockname()[1]
+    return min(found, 65535 - _PORTS)
--- /dev/null
+++ b/skylarkfold/standin/packets/__init__.py
@@ -0,0 +1,27 @@
+"""Stand-ins for a platform whose packets carry tokens.
+
+A store of objects, upstreams, callers and the fabric between callers and
+instances, all on loopback and on one event loop, for tests and the soak.
+They know the platform's names, as the adapter does, and are written apart
+from it, so that an error of one is not hidden by the other.
+"""
+
+from skylarkfold.standin.packets._caller import ANSWERED
+from skylarkfold.standin.packets._caller import Caller
+from skylarkfold.standin.packets._caller import Exchange
+from skylarkfold.standin.packets._fabric import Fabric
+from skylarkfold.standin.packets._objects import ObjectStore
+from skylarkfold.standin.packets._server import StoreServer
+from skylarkfold.standin.packets._settings import write_settings
+from skylarkfold.standin.packets._upstream import Upstream
+
+__all__ = [
+    'ANSWERED',
+    'Caller',
+    'Exchange',
+    'Fabric',
+    'ObjectStore',
+    'StoreServer',
+    'Upstream',
+    'write_settings',
+]
--- /dev/null
+++ b/skylarkfold/tests/platform/test_processes.py
@@ -0,0 +1,122 @@
+"""Real processes over loopback: open, carry, drain, replace, restart."""
+
+import pathlib
+import signal
+import tempfile
+
+import testtools
+
+from skylarkfold.soak import _world
+from skylarkfold.standin import packets
+
+# No assertion depends on it: it bounds a run that hangs.
+LONGEST_SECONDS = 60.0
+
+
+class ProcessesTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        scratch = tempfile.TemporaryDirectory()
+        self.addCleanup(scratch.cleanup)
+        self.world = _world.World(
+            pathlib.Path(scratch.name), 1, {'a': 2, 'b': 1}, upstreams=1
+        )
+        self.addCleanup(self.world.end)
+        self.limit = self.world.loop.now() + LONGEST_SECONDS
+        self.world.start()
+        self.exchanges = []
+        self.caller = self.world.callers[0]
+
+    def run_until(self, condition):
+        """Run until a condition holds, within bounds."""
+
+        def look():
+            if condition() or self.world.loop.now() > self.limit:
+                self.world.loop.stop()
+            else:
+                self.world.loop.call_later(0.02, look)
+
+        self.world.loop.call_later(0.0, look)
+        self.world.loop.run()
+        self.assertTrue(condition())
+
+    def wait_for_rotation(self):
+        instances = self.world.instances
+        fabric = self.world.fabric
+        self.run_until(
+            lambda: all(fabric.is_in_rotation(each.name) for each in instances)
+        )
+
+    def ask(self, flow):
+        """Send a request and wait for its end."""
+        exchange = packets.Exchange(self.world.name_request())
+        flow.request(exchange, 5.0, self.exchanges.append)
+        self.run_until(lambda: exchange.outcome)
+        return exchange
+
+    def open(self):
+        address, _, _ = _world.ROUTES[0]
+        return self.caller.open(address)
+
+    def test_a_flow_is_carried_through_a_restart_of_everything(self):
+        self.wait_for_rotation()
+        flow = self.open()
+        self.assertEqual(packets.ANSWERED, self.ask(flow).outcome)
+        self.world.kill_all()
+        again = self.ask(flow)
+        self.assertEqual(packets.ANSWERED, again.outcome)
+        self.assertEqual('desk', again.answer)
+        self.assertEqual([], flow.resets)
+
+    def test_a_drained_upstream_keeps_its_flows_and_gets_no_new_one(self):
+        self.wait_for_rotation()
+        flow = self.open()
+        self.ask(flow)
+        drained = self.world.find_upstream(flow.upstream_echo)
+        drained.is_draining = True
+        self.world.register(drained)
+        self.run_until(
+            lambda: all(
+                '"reason":"draining"' in each.read_log()
+                for each in self.world.instances
+            )
+        )
+        others = {self._open_once() for _ in range(6)}
+        self.assertNotIn(drained, others)
+        self.assertEqual(packets.ANSWERED, self.ask(flow).outcome)
+
+    def _open_once(self):
+        flow = self.open()
+        self.assertEqual(packets.ANSWERED, self.ask(flow).outcome)
+        flow.finish()
+        return self.world.find_upstream(flow.upstream_echo)
+
+    def test_an_address_that_changes_hands_ends_the_old_flows(self):
+        self.wait_for_rotation()
+        flow = self.open()
+        self.ask(flow)
+        old = self.world.find_upstream(flow.upstream_echo)
+        old.end()
+        self.world.forget(old)
+        new = self.world.add_upstream('vault', old.zone, old.address)
+        exchange = self.ask(flow)
+        self.assertEqual('reset', exchange.outcome)
+        self.assertEqual([], new.runs)
+
+    def test_a_planned_stop_loses_no_request(self):
+        self.wait_for_rotation()
+        self.world.instances[0].send(signal.SIGTERM)
+        flows = [self.open() for _ in range(10)]
+        for _ in range(4):
+            for flow in flows:
+                self.assertEqual(packets.ANSWERED, self.ask(flow).outcome)
+        self.assertEqual([], self.world.instances[0].own_ends)
+
+    def test_a_torn_settings_file_keeps_the_last_good_one(self):
+        self.wait_for_rotation()
+        instance = self.world.instances[0]
+        instance.tear_settings(30.0)
+        instance.send(signal.SIGHUP)
+        self.run_until(lambda: '"reason":"kept"' in instance.read_log())
+        self.assertEqual(packets.ANSWERED, self.ask(self.open()).outcome)
+        self.assertEqual([], instance.own_ends)
--- /dev/null
+++ b/skylarkfold/tests/soak/test_soak.py
@@ -0,0 +1,41 @@
+"""A short run of the soak, and seeds that once failed."""
+
+import pathlib
+import tempfile
+
+import testtools
+
+from skylarkfold import soak
+from skylarkfold.soak import _plan
+
+SECONDS = 8.0
+
+
+class SoakTest(testtools.TestCase):
+    def run_seed(self, seed, planned_only=False):
+        with tempfile.TemporaryDirectory() as scratch:
+            result = soak.run_seed(
+                seed, pathlib.Path(scratch), SECONDS, planned_only
+            )
+        self.assertEqual([], result.broken, f'{result.plan}')
+        self.assertGreater(result.outcomes['answered'], 0)
+
+    def test_planned_work_fails_no_request(self):
+        self.run_seed(7, planned_only=True)
+
+    def test_faults_break_no_promise(self):
+        self.run_seed(11)
+
+    def test_the_same_seed_draws_the_same_plan(self):
+        one = [repr(step) for step in soak.draw_plan(5, 20.0, False)]
+        self.assertEqual(
+            one, [repr(step) for step in soak.draw_plan(5, 20.0, False)]
+        )
+
+    def test_all_kinds_of_faults_are_drawn(self):
+        drawn = {
+            step.kind
+            for seed in range(200)
+            for step in soak.draw_plan(seed, 20.0, False)
+        }
+        self.assertEqual({*_plan.PLANNED, *_plan.UNPLANNED}, drawn)
