Verdicts need a control; flows that moved are no doubt; duties by capacity

The doubt itself came from a flow that went through another instance by then.

Change: the second probe goes out together with one to an upstream heard just now, and only its answer makes a verdict; a request whose caller has not repeated it after 0.25 s waits elsewhere; watchers and delegates are the instances with the largest link and processor share.

--- a/skylarkfold/affinity/_health.py
+++ b/skylarkfold/affinity/_health.py
@@ -5,7 +5,8 @@
 that it was not by a first packet without a second, or a request without
 an acknowledgement. Such a silence is a doubt, no more: the peers of this
 zone are asked whether they have heard the upstream since. If none has, it
-is probed. Only probes that fail while others are heard are a verdict.
+is probed. Probes that fail are a verdict only if one of another upstream,
+sent at the same time, is answered: else the fault may be on this side.
 """
 
 from __future__ import annotations
@@ -51,7 +52,6 @@
             collections.deque()
         )
         self._suspects: dict[str, _standing.Standing] = {}
-        self._heard_any_at = _NEVER
 
     def note_heard(self, now: float, standing: _standing.Standing) -> None:
         """Note that a packet proved an upstream to answer.
@@ -59,7 +59,7 @@
         :param now: the time.
         :param standing: the upstream.
         """
-        standing.heard_at = self._heard_any_at = now
+        standing.heard_at = now
 
     def take_packet(
         self, now: float, flow: _flow.Flow, packet: _packet.Packet
@@ -134,16 +134,21 @@
         standing = self._directory.get(name)
         if standing is None:
             return []
+        if outcome == Outcome.ALIVE:
+            standing.alive_at = now
+        if not standing.is_probing:
+            return []
         standing.is_probing = False
         if outcome == Outcome.ALIVE or self._is_answering(standing):
             return self._take_alive(now, standing)
         standing.failures += 1
         standing.failed_at = now
         if standing.failures < self._settings.probe_tries:
-            return self._probe(now, standing)
+            return self._probe_with_control(now, standing)
         standing.probe_due = now + self._settings.probe_pause_seconds
-        # If nobody at all was heard meanwhile, the fault may be here.
-        standing.is_proven = self._heard_any_at > standing.probed_at
+        standing.is_proven = any(
+            each.alive_at >= standing.compared_at for each in self._directory
+        )
         if standing.health == Health.OUT_OF_REACH:
             return []
         standing.health = Health.OUT_OF_REACH
@@ -164,8 +169,8 @@
         for name, standing in list(self._suspects.items()):
             if not self._is_of_interest(standing):
                 del self._suspects[name]
-            elif standing.probe_due <= now:
-                effects += self._probe(now, standing)
+            elif standing.probe_due <= now and not standing.is_probing:
+                effects += self._probe_again(now, standing)
         return effects
 
     def recheck(self, standing: _standing.Standing) -> None:
@@ -186,18 +191,31 @@
     def _judge_wait(self, now: float, flow: _flow.Flow) -> list[object]:
         if flow.waiting_since is None or flow.is_closed:
             return []
+        if self._has_moved(now, flow):
+            flow.waiting_since = None
+            return []
         standing = flow.standing
         silent_since = max(flow.waiting_since, standing.last_heard)
         patience = self._patience.get(standing.upstream.service)
-        if now - flow.waiting_since > self._settings.longest_wait_seconds:
-            # Its caller has given up, or goes through another instance.
-            return []
         if now - silent_since < patience:
             self._waits.append((silent_since + patience, flow))
             return []
         self._waits.append((now + patience, flow))
         return self._doubt(now, standing, silent_since)
 
+    def _has_moved(self, now: float, flow: _flow.Flow) -> bool:
+        """Tell whether its caller goes through another instance now.
+
+        One that is not answered repeats its packet; one that gave up, or
+        whose answer was acknowledged elsewhere, does not.
+        """
+        waited = now - flow.waiting_since
+        settings = self._settings
+        if waited > settings.longest_wait_seconds:
+            return True
+        silent = now - flow.seen_at
+        return waited > settings.repeat_seconds and silent >= waited
+
     def _doubt(
         self, now: float, standing: _standing.Standing, silent_since: float
     ) -> list[object]:
@@ -245,6 +263,33 @@
         timeout = self._settings.probe_timeout_seconds
         return [_effect.Probe(standing.upstream, timeout)]
 
+    def _probe_again(
+        self, now: float, standing: _standing.Standing
+    ) -> list[object]:
+        if standing.health == Health.OUT_OF_REACH and not standing.is_proven:
+            return self._probe_with_control(now, standing)
+        return self._probe(now, standing)
+
+    def _probe_with_control(
+        self, now: float, standing: _standing.Standing
+    ) -> list[object]:
+        """Probe an upstream, and one that was heard just now with it."""
+        standing.compared_at = now
+        effects = self._probe(now, standing)
+        control = max(
+            (
+                each
+                for each in self._directory
+                if each.health == Health.GOOD and each is not standing
+            ),
+            key=lambda each: each.heard_at,
+            default=None,
+        )
+        if control is not None:
+            timeout = self._settings.probe_timeout_seconds
+            effects.append(_effect.Probe(control.upstream, timeout))
+        return effects
+
     def _take_alive(
         self, now: float, standing: _standing.Standing
     ) -> list[object]:
--- a/skylarkfold/affinity/_settings.py
+++ b/skylarkfold/affinity/_settings.py
@@ -18,6 +18,8 @@
         packet after 0.2 and 0.6 s and give up within a second or two.
     :param longest_wait_seconds: a request that waits for longer tells
         nothing any more.
+    :param repeat_seconds: a caller that is not answered has repeated its
+        packet by then; it does so after 0.2 s.
     :param ask_seconds: how long peers have to say that they heard an
         upstream in doubt, before it is probed; they answer within 5 ms.
     :param probe_timeout_seconds: how long a probe waits for the
@@ -64,6 +66,7 @@
         'probe_pause_seconds',
         'probe_timeout_seconds',
         'probe_tries',
+        'repeat_seconds',
         'verdict_seconds',
     )
 
@@ -74,6 +77,7 @@
         answer_patience_seconds: float = 0.100,
         longest_patience_seconds: float = 0.6,
         longest_wait_seconds: float = 3.0,
+        repeat_seconds: float = 0.25,
         ask_seconds: float = 0.02,
         probe_timeout_seconds: float = 0.1,
         probe_tries: int = 2,
@@ -92,6 +96,7 @@
         self.answer_patience_seconds = answer_patience_seconds
         self.longest_patience_seconds = longest_patience_seconds
         self.longest_wait_seconds = longest_wait_seconds
+        self.repeat_seconds = repeat_seconds
         self.ask_seconds = ask_seconds
         self.probe_timeout_seconds = probe_timeout_seconds
         self.probe_tries = probe_tries
--- a/skylarkfold/affinity/_standing.py
+++ b/skylarkfold/affinity/_standing.py
@@ -35,7 +35,9 @@
     :ivar health: one of :class:`Health`.
     :ivar failures: probes in a row that failed.
     :ivar probed_at: when the first of them began.
-    :ivar is_proven: whether others were heard while they failed.
+    :ivar compared_at: when another upstream was probed beside it.
+    :ivar alive_at: when a probe was last answered.
+    :ivar is_proven: whether that other one answered while it did not.
     :ivar failed_at: when the last probe failed.
     :ivar probe_due: when it may be probed again.
     :ivar is_probing: whether a probe is under way.
@@ -43,6 +45,8 @@
     """
 
     __slots__ = (
+        'alive_at',
+        'compared_at',
         'failed_at',
         'failures',
         'flows',
@@ -71,6 +75,8 @@
         self.heard_elsewhere_at = _NEVER
         self.silent_since = _NEVER
         self.probed_at = _NEVER
+        self.alive_at = _NEVER
+        self.compared_at = _NEVER
         self.is_proven = False
         self.lapsed_at: float | None = None
         self.is_replaced = False
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -71,6 +71,7 @@
             settings.zone,
             settings.peer_address[0],
             settings.relay,
+            settings.capacity,
         )
         self._relay.set_seeds(settings.seeds)
         self._peers = _peers.PeerSockets(
--- a/skylarkfold/forwarder/_settings.py
+++ b/skylarkfold/forwarder/_settings.py
@@ -17,6 +17,8 @@
         the same on all instances.
     :param seeds: hosts where other instances may be found.
     :param store_address: the platform's store.
+    :param capacity: what the machine has to spare; duties go to those
+        first that have more of it.
     :param grace_seconds: how long a planned stop may take.
     :param affinity: limits of placement and health.
     :param relay: how the store's objects are followed.
@@ -24,6 +26,7 @@
 
     __slots__ = (
         'affinity',
+        'capacity',
         'grace_seconds',
         'name',
         'packet_address',
@@ -44,6 +47,7 @@
         peer_address: tuple[str, int],
         store_address: tuple[str, int],
         seeds: tuple[str, ...] = (),
+        capacity: int = 0,
         grace_seconds: float = 6.0,
         affinity: affinity.AffinitySettings | None = None,
         relay: relay.RelaySettings | None = None,
@@ -55,6 +59,7 @@
         self.peer_address = peer_address
         self.seeds = seeds
         self.store_address = store_address
+        self.capacity = capacity
         self.grace_seconds = grace_seconds
         self.affinity = affinity or _make_affinity()
         self.relay = relay or _make_relay()
--- a/skylarkfold/member.py
+++ b/skylarkfold/member.py
@@ -66,6 +66,11 @@
         """Tell whether it may be given new state to hold."""
         return self.state.may_own
 
+    @property
+    def capacity(self) -> int:
+        """Members are told apart by their hash alone."""
+        return 0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Membership:
--- a/skylarkfold/overlay.py
+++ b/skylarkfold/overlay.py
@@ -24,12 +24,14 @@
     :ivar zone: its availability zone.
     :ivar is_reachable: whether messages to it are worth sending.
     :ivar may_own: whether it may be given duties.
+    :ivar capacity: the more of it, the sooner it is given duties.
     """
 
     name: str
     zone: str
     is_reachable: bool
     may_own: bool
+    capacity: int
 
 
 class Places(Protocol):
@@ -94,10 +96,8 @@
     :param zone: the zone.
     :returns: the names of those that may own state.
     """
-    names = [
-        each.name for each in members if each.zone == zone and each.may_own
-    ]
-    return sorted(names, key=_hash_rank)
+    able = [each for each in members if each.zone == zone and each.may_own]
+    return [each.name for each in sorted(able, key=_rank)]
 
 
 def _list_others(members: Iterable[Place], name: str) -> Iterable[str]:
@@ -128,17 +128,23 @@
 
 
 def _rank_zones(members: list[Place]) -> dict[str, list[str]]:
-    names: dict[str, list[str]] = {}
+    zones: dict[str, list[Place]] = {}
     for each in members:
-        owners = names.setdefault(each.zone, [])
+        owners = zones.setdefault(each.zone, [])
         if each.may_own:
-            owners.append(each.name)
+            owners.append(each)
     return {
-        zone: heapq.nsmallest(DELEGATES, owners, key=_hash_rank)
-        for zone, owners in names.items()
+        zone: [
+            each.name for each in heapq.nsmallest(DELEGATES, owners, key=_rank)
+        ]
+        for zone, owners in zones.items()
     }
 
 
+def _rank(each: Place) -> tuple[int, int]:
+    return (-each.capacity, _hash_rank(each.name))
+
+
 def _list_reverse(theirs: list[str], count: int, place: int) -> list[str]:
     return [
         name for index, name in enumerate(theirs) if index % count == place
--- a/skylarkfold/platform/_adapter.py
+++ b/skylarkfold/platform/_adapter.py
@@ -11,6 +11,11 @@
 from skylarkfold import reactor
 from skylarkfold import relay
 
+# A machine's capacity is counted in these, by whichever it has less of.
+_CORES_STEP = 0.1
+_LINK_STEP_MBPS = 10.0
+_MOST_CAPACITY = 20
+
 
 class Adapter:
     """Translates the platform's bytes; see ``forwarder.Platform``.
@@ -82,7 +87,16 @@
         peer_address=settings.peer_address,
         store_address=settings.store_address,
         seeds=settings.seeds,
+        capacity=_measure_capacity(settings),
         grace_seconds=settings.grace_seconds,
         affinity=affinity.AffinitySettings(flow_seconds=settings.flow_seconds),
         relay=relay.RelaySettings(topics=_objects.TOPICS),
     )
+
+
+def _measure_capacity(settings: _settings.PlatformSettings) -> int:
+    # A watcher takes each whole configuration from the store, 400 KB on a
+    # large day: a third of a second on the smallest links.
+    tenths = settings.cores / _CORES_STEP
+    links = settings.link_mbps / _LINK_STEP_MBPS
+    return int(min(tenths, links, _MOST_CAPACITY))
--- a/skylarkfold/platform/_settings.py
+++ b/skylarkfold/platform/_settings.py
@@ -30,13 +30,17 @@
     :param peer_address: where it takes the messages of other instances.
     :param seeds: hosts where other instances may be found.
     :param store_address: the platform's store.
+    :param cores: the processor time that it may use.
+    :param link_mbps: the bandwidth of its link, in Mbit/s.
     :param grace_seconds: how long a planned stop may take.
     :param flow_seconds: the longest life of a flow.
     """
 
     __slots__ = (
+        'cores',
         'flow_seconds',
         'grace_seconds',
+        'link_mbps',
         'name',
         'packet_address',
         'peer_address',
@@ -55,6 +59,8 @@
         peer_address: tuple[str, int],
         seeds: tuple[str, ...],
         store_address: tuple[str, int],
+        cores: float,
+        link_mbps: float,
         grace_seconds: float,
         flow_seconds: float,
     ) -> None:
@@ -65,6 +71,8 @@
         self.peer_address = peer_address
         self.seeds = seeds
         self.store_address = store_address
+        self.cores = cores
+        self.link_mbps = link_mbps
         self.grace_seconds = grace_seconds
         self.flow_seconds = flow_seconds
 
@@ -116,6 +124,8 @@
 def _convert(fields: _Section) -> PlatformSettings:
     listen = fields.get_section('listen_addrs')
     bounds = fields.get_section('bounds')
+    limits = fields.get_section('limits')
+    share = limits.get_number('cpu_share', 1.0)
     return PlatformSettings(
         name=fields.get_text('node_name'),
         zone=fields.get_text('zone'),
@@ -124,6 +134,8 @@
         peer_address=(fields.get_text('ip'), fields.get_port()),
         seeds=fields.get_hosts('seeds'),
         store_address=fields.get_section('platform').get_address('address'),
+        cores=share * limits.get_number('cores', 1.0),
+        link_mbps=limits.get_number('link_mbps', 0.0),
         grace_seconds=bounds.get_number('grace_s', _GRACE_SECONDS),
         flow_seconds=bounds.get_number('max_flow_s', _FLOW_SECONDS),
     )
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -25,6 +25,8 @@
     :param zone: its availability zone.
     :param host: its address.
     :param settings: the relay's settings.
+    :param capacity: what it has to spare; duties go to those first that
+        have more of it.
     """
 
     def __init__(
@@ -33,9 +35,10 @@
         zone: str,
         host: str,
         settings: _settings.RelaySettings,
+        capacity: int = 0,
     ) -> None:
         self._settings = settings
-        self._own = _peers.Peer(name, zone, host)
+        self._own = _peers.Peer(name, zone, host, capacity)
         self._peers = _peers.PeerTable(self._own, settings)
         jitter = backoff.HashJitter(sum(name.encode()))
         self._topics = [
@@ -502,6 +505,7 @@
         return _messages.Beacon(
             self._own.name,
             self._own.zone,
+            self._own.capacity,
             self._own.is_leaving,
             is_asking,
             tuple(topic.describe(now) for topic in self._topics),
--- a/skylarkfold/relay/_messages.py
+++ b/skylarkfold/relay/_messages.py
@@ -67,17 +67,24 @@
 class Hearsay:
     """An instance that the sender knows.
 
+    :param capacity: as in :class:`Beacon`.
     :param age_seconds: how long ago it was last heard by anyone.
     """
 
-    __slots__ = ('age_seconds', 'host', 'name', 'zone')
+    __slots__ = ('age_seconds', 'capacity', 'host', 'name', 'zone')
 
     def __init__(
-        self, name: str, zone: str, host: str, age_seconds: float
+        self,
+        name: str,
+        zone: str,
+        host: str,
+        capacity: int,
+        age_seconds: float,
     ) -> None:
         self.name = name
         self.zone = zone
         self.host = host
+        self.capacity = capacity
         self.age_seconds = age_seconds
 
 
@@ -110,6 +117,7 @@
 
     :param name: the sender's name.
     :param zone: its availability zone.
+    :param capacity: the more of it, the sooner it is given duties.
     :param is_leaving: whether it is about to end.
     :param wants_answer: whether the receiver shall send its own at once.
     :param positions: one for each topic.
@@ -123,6 +131,7 @@
     """
 
     __slots__ = (
+        'capacity',
         'doubts',
         'heard',
         'hearsay',
@@ -139,6 +148,7 @@
         self,
         name: str,
         zone: str,
+        capacity: int,
         is_leaving: bool,
         wants_answer: bool,
         positions: tuple[Position, ...],
@@ -150,6 +160,7 @@
     ) -> None:
         self.name = name
         self.zone = zone
+        self.capacity = capacity
         self.is_leaving = is_leaving
         self.wants_answer = wants_answer
         self.positions = positions
@@ -201,6 +212,7 @@
         _VERSION,
         beacon.name,
         beacon.zone,
+        beacon.capacity,
         flags,
         [
             [each.revision, each.changed, _to_milliseconds(each.age_seconds)]
@@ -217,7 +229,13 @@
             for each in beacon.loads
         ],
         [
-            [each.name, each.zone, each.host, int(each.age_seconds * 1000)]
+            [
+                each.name,
+                each.zone,
+                each.host,
+                each.capacity,
+                int(each.age_seconds * 1000),
+            ]
             for each in beacon.hearsay
         ],
         beacon.doubts,
@@ -315,11 +333,12 @@
 
 
 def _convert_beacon(fields: list[object]) -> Beacon:
-    _, name, zone, flags, positions, news, loads, hearsay, *rest = fields
-    doubts, heard = rest
+    _, name, zone, capacity, flags, positions, *rest = fields
+    news, loads, hearsay, doubts, heard = rest
     return Beacon(
         _check_text(name),
         _check_text(zone),
+        _check_count(capacity),
         bool(flags & _IS_LEAVING),
         bool(flags & _WANTS_ANSWER),
         tuple(
@@ -337,9 +356,10 @@
                 _check_text(name),
                 _check_text(zone),
                 _check_text(host),
+                _check_count(capacity),
                 _check_count(age) / 1000,
             )
-            for name, zone, host, age in _check_list(hearsay)
+            for name, zone, host, capacity, age in _check_list(hearsay)
         ),
         tuple(_check_count(token) for token in _check_list(doubts)),
         {
--- a/skylarkfold/relay/_peers.py
+++ b/skylarkfold/relay/_peers.py
@@ -17,6 +17,7 @@
 class Peer:
     """One instance.
 
+    :ivar capacity: the more of it, the sooner it is given duties.
     :ivar heard_at: when a beacon of it last came, here or at others.
     :ivar met_at: when a beacon of it last came here.
     :ivar back_at: when it was first heard after a silence.
@@ -27,6 +28,7 @@
 
     __slots__ = (
         'back_at',
+        'capacity',
         'flows',
         'heard_at',
         'host',
@@ -38,10 +40,11 @@
         'zone',
     )
 
-    def __init__(self, name: str, zone: str, host: str) -> None:
+    def __init__(self, name: str, zone: str, host: str, capacity: int) -> None:
         self.name = name
         self.zone = zone
         self.host = host
+        self.capacity = capacity
         self.heard_at = _NEVER
         self.met_at = _NEVER
         self.back_at = _NEVER
@@ -106,7 +109,7 @@
         """
         peer = self.members.get(beacon.name)
         if peer is None:
-            peer = Peer(beacon.name, beacon.zone, host)
+            peer = Peer(beacon.name, beacon.zone, host, beacon.capacity)
             self.members[beacon.name] = peer
             self._neighbours = None
         if not peer.is_reachable or peer.met_at == _NEVER:
@@ -130,7 +133,7 @@
             return
         peer = self.members.get(said.name)
         if peer is None:
-            peer = Peer(said.name, said.zone, said.host)
+            peer = Peer(said.name, said.zone, said.host, said.capacity)
             self.members[said.name] = peer
             self._neighbours = None
         if peer is not self._own and heard_at > peer.heard_at:
@@ -265,7 +268,11 @@
         chosen = (alive[begin:] + alive[:begin])[:_HEARSAY_COUNT]
         return tuple(
             _messages.Hearsay(
-                each.name, each.zone, each.host, max(0.0, now - each.heard_at)
+                each.name,
+                each.zone,
+                each.host,
+                each.capacity,
+                max(0.0, now - each.heard_at),
             )
             for each in chosen
         )
--- a/skylarkfold/standin/packets/_settings.py
+++ b/skylarkfold/standin/packets/_settings.py
@@ -17,6 +17,10 @@
 datagram_addr = "{host}:{packet_port}"
 ready_addr = "{host}:{ready_port}"
 control_addr = "{host}:{control_port}"
+[limits]
+cpu_share = 1.0
+cores = 1
+link_mbps = 1000.0
 [bounds]
 grace_s = 6
 max_flow_s = 60
--- a/skylarkfold/tests/affinity/test_health.py
+++ b/skylarkfold/tests/affinity/test_health.py
@@ -48,9 +48,10 @@
     def fail_probes(self, now, outcome=SILENT, count=2, is_proven=True):
         effects = []
         for _ in range(count):
-            if is_proven:
-                self.hear(now, self.other)
             effects += self.core.take_probe(now, self.upstream.name, outcome)
+            if self.other.name in samples.list_probes(effects):
+                control = ALIVE if is_proven else SILENT
+                self.core.take_probe(now, self.other.name, control)
         return effects
 
     def test_a_request_without_answer_leads_to_a_question(self):
@@ -96,6 +97,27 @@
         # Silent for a whole patience since then.
         self.assertEqual(1, len(self.core.tick(1.17)))
 
+    def test_a_flow_that_moved_to_another_instance_is_no_doubt(self):
+        # Its caller would have repeated the packet after 0.2 s.
+        self.open(0.0, 1)
+        self.ask(1.0, 1)
+        self.hear(1.08, self.upstream, 5)
+        self.assertEqual([], self.core.tick(1.11))
+        self.hear(1.2, self.upstream, 5)
+        self.assertEqual([], self.core.tick(1.21))
+        self.assertEqual([], self.core.tick(1.32))
+        self.assertEqual([], self.core.tick(2.0))
+
+    def test_a_caller_that_repeats_its_request_keeps_the_doubt(self):
+        self.open(0.0, 1)
+        self.ask(1.0, 1)
+        self.hear(1.08, self.upstream, 5)
+        self.core.tick(1.11)
+        self.hear(1.19, self.upstream, 5)
+        self.ask(1.2, 1)
+        self.core.tick(1.21)
+        self.assertEqual(1, len(self.core.tick(1.32)))
+
     def test_a_slow_service_is_waited_for(self):
         for number in range(20):
             now = float(number)
@@ -144,7 +166,7 @@
             new = self.core.take_packet(1.4, samples.build_first(9))
             self.assertEqual([self.other.name], samples.list_forwards(new))
 
-    def test_failed_probes_of_one_that_hears_nobody_prove_nothing(self):
+    def test_failed_probes_prove_nothing_if_another_one_fails_too(self):
         self.doubt(1.0)
         effects = self.fail_probes(1.3, is_proven=False)
         self.assertEqual([], samples.list_resets(effects))
@@ -212,8 +234,8 @@
         self.core.tick(1.14)
         effects = []
         for _ in range(2):
-            self.hear(1.3, self.other)
             effects += self.core.take_probe(1.3, far[0].name, SILENT)
+            self.core.take_probe(1.3, self.other.name, ALIVE)
         asked = [
             each.upstream.name
             for each in effects
--- a/skylarkfold/tests/relay/fleet.py
+++ b/skylarkfold/tests/relay/fleet.py
@@ -75,10 +75,10 @@
         for number, zone in enumerate(zones):
             self.start(f'entry-{number}', zone)
 
-    def start(self, name, zone):
+    def start(self, name, zone, capacity=0):
         """Start an instance that knows nothing but two seeds."""
         self.zones[name] = zone
-        core = relay.RelayCore(name, zone, name, self.settings)
+        core = relay.RelayCore(name, zone, name, self.settings, capacity)
         core.set_seeds(('entry-0', 'entry-1'))
         self.cores[name] = core
         self._plan(0.0, lambda: self._tick(name, core))
--- a/skylarkfold/tests/relay/test_messages.py
+++ b/skylarkfold/tests/relay/test_messages.py
@@ -29,6 +29,7 @@
     relay.Beacon,
     NAMES,
     NAMES,
+    strategies.integers(0, 20),
     strategies.booleans(),
     strategies.booleans(),
     strategies.lists(
--- a/skylarkfold/tests/relay/test_spread.py
+++ b/skylarkfold/tests/relay/test_spread.py
@@ -126,9 +126,17 @@
             self.assertGreaterEqual(changed.revision, seen.get(key, 0))
             seen[key] = changed.revision
 
+    def test_duties_go_to_the_largest_instance_of_a_zone(self):
+        self.fleet.start('large', 'a', capacity=20)
+        self.fleet.run(2.0)
+        for name, core in self.fleet.cores.items():
+            rank = core.peers.compute_rank()
+            if self.fleet.zones[name] == 'a':
+                self.assertEqual(name == 'large', rank == 0)
+
     def test_a_beacon_of_a_stranger_with_other_topics_is_ignored(self):
         core = self.fleet.cores['entry-0']
-        beacon = relay.Beacon('x', 'a', False, False, ())
+        beacon = relay.Beacon('x', 'a', 0, False, False, ())
         (note,) = core.take_beacon(self.fleet.now, 'x', beacon)
         self.assertEqual('other-topics', note.reason)
 
