A zone is doubted after two losses, a lapsed entry only with flows

Change: two upstreams of another zone must be out of reach while none of it is heard; a lapsed entry matters where flows of it are carried.

--- a/skylarkfold/affinity/_health.py
+++ b/skylarkfold/affinity/_health.py
@@ -105,8 +105,10 @@
         :param standing: the upstream.
         :returns: effects.
         """
-        # One that left as planned ends its flows itself.
-        if standing.is_replaced or standing.upstream.is_draining:
+        # One that left as planned ends its flows itself; one without flows
+        # here may be looked at when there are some.
+        is_planned = standing.upstream.is_draining
+        if standing.is_replaced or is_planned or not standing.flows:
             return []
         return self._doubt(now, standing, now)
 
@@ -233,15 +235,23 @@
     def _doubt_zone(
         self, now: float, failed: _standing.Standing
     ) -> list[object]:
-        """Doubt the others of a zone that may be cut off."""
+        """Doubt the others of a zone that seems to be cut off."""
         zone = failed.upstream.zone
         if zone == self._zone:
             return []
+        mates = [
+            each
+            for each in self._directory
+            if each.upstream.zone == zone and each.lapsed_at is None
+        ]
+        lost = [each for each in mates if each.health == Health.OUT_OF_REACH]
+        since = min((each.probed_at for each in lost), default=now)
+        is_heard = any(each.last_heard > since for each in mates)
+        if len(lost) < self._settings.zone_failures or is_heard:
+            return []
         effects: list[object] = []
-        for each in self._directory:
-            is_mate = each.upstream.zone == zone and each.lapsed_at is None
-            if is_mate and each.last_heard < failed.probed_at:
-                effects += self._doubt(now, each, failed.probed_at)
+        for each in mates:
+            effects += self._doubt(now, each, since)
         return effects
 
     def _is_answering(self, standing: _standing.Standing) -> bool:
--- a/skylarkfold/affinity/_settings.py
+++ b/skylarkfold/affinity/_settings.py
@@ -29,6 +29,9 @@
         verdict (0.06% of pairs at 2.5% loss).
     :param probe_pause_seconds: the pause between two probes of one
         upstream that answered or is out of reach.
+    :param zone_failures: upstreams of another zone that must be out of
+        reach, while none of it is heard, before all of them are doubted.
+        One is a crash as a rule, and its mates would be probed in vain.
     :param verdict_seconds: how long a failed probe allows resets. Longer
         than the pause, the probe and its time-out together.
     :param full_seconds: an upstream that answers probes but not first
@@ -68,6 +71,7 @@
         'probe_tries',
         'repeat_seconds',
         'verdict_seconds',
+        'zone_failures',
     )
 
     def __init__(
@@ -82,6 +86,7 @@
         probe_timeout_seconds: float = 0.1,
         probe_tries: int = 2,
         probe_pause_seconds: float = 0.4,
+        zone_failures: int = 2,
         verdict_seconds: float = 1.0,
         full_seconds: float = 0.5,
         lapsed_seconds: float = 2.5,
@@ -101,6 +106,7 @@
         self.probe_timeout_seconds = probe_timeout_seconds
         self.probe_tries = probe_tries
         self.probe_pause_seconds = probe_pause_seconds
+        self.zone_failures = zone_failures
         self.verdict_seconds = verdict_seconds
         self.full_seconds = full_seconds
         self.lapsed_seconds = lapsed_seconds
