--- a/skylarkfold/_commands.py
+++ b/skylarkfold/_commands.py
@@ -52,15 +52,21 @@
         read = _load('settings').read_entry_settings(str(settings))
         uvloop.run(_load('daemon').serve(read))
 
-    def check(self, file: str, team: str = '') -> None:
+    def check(self, file: str, team: str = '', kind: str = '') -> None:
         """Check a settings file without using it.
 
         :param file: the file.
         :param team: the team whose subtree the file is; without it, the
             file is an instance's.
+        :param kind: what else it is: own, the settings that instances on
+            the users' platform take from us; platform, those that the
+            platform gives them; deploy, the deploy file.
         """
         settings = _load('settings')
         path = str(file)
+        if kind:
+            print(f'{path}: {_load("platform.check").check(path, str(kind))}')
+            return
         if not team:
             settings.read_entry_settings(path)
             print(f'{path}: a valid instance file')
@@ -244,6 +250,27 @@
         results = chosen.measure(seed=seed, **options)
         _load('table').print_results(results, bool(json))
 
+    def explain(self, flow: str, *logs: str) -> int:
+        """Tell the story of one flow from the logs of several instances.
+
+        :param flow: CALLER:PORT>ADDRESS:PORT, or its part before the >.
+        :param logs: the log files; the lines of several instances may be
+            in one.
+        :returns: 1 if no line names the flow.
+        """
+        if not logs:
+            raise errors.UsageError('no log file is named')
+        explain = _load('explain')
+        lines: list[object] = []
+        for path in logs:
+            text = _load('_operators').read_file(str(path))
+            lines += explain.read_lines(
+                text.decode(errors='replace').split('\n')
+            )
+        story = explain.tell(str(flow), lines)
+        print(explain.format_story(story), end='')
+        return 0 if story.events else 1
+
     def platform_standin(self, host: str = '127.0.0.1', port: int = 0) -> None:
         """Stand in for the platform's object API, for tests and benches.
 
--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -16,6 +16,7 @@
 from skylarkfold.affinity import _route
 from skylarkfold.affinity import _settings
 from skylarkfold.affinity import _standing
+from skylarkfold.affinity import _tally
 from skylarkfold.affinity import _upstream
 
 Reason = _effect.Reason
@@ -37,12 +38,13 @@
     ) -> None:
         self._zone = zone
         self._settings = settings
+        self.tally = _tally.Tally()
         self._routes = _route.EMPTY
         self._directory = _directory.Directory(settings)
         self._flows = _flow.FlowTable(settings.flow_limit)
-        self._ending = _ending.Ending(settings, self._flows)
+        self._ending = _ending.Ending(settings, self._flows, self.tally)
         self._health = _health.HealthWatch(
-            zone, settings, self._directory, self._ending
+            zone, settings, self._directory, self._ending, self.tally
         )
         self._peer_loads = _load.PeerLoads(settings, self._directory)
         self._openings: collections.deque[tuple[float, _flow.Flow]] = (
@@ -55,7 +57,6 @@
         self._confirmed_at = float('-inf')
         self._next_active = float('-inf')
         self._next_dormant = float('-inf')
-        self.counters: collections.Counter[str] = collections.Counter()
 
     @property
     def is_ready(self) -> bool:
@@ -284,7 +285,7 @@
         flow.tried = (*flow.tried, standing.upstream.name)
         due = now + self._settings.open_patience_seconds
         self._openings.append((due, flow))
-        self.counters[f'open.{reason}'] += 1
+        self.tally.count(_tally.OPENED, reason)
         details = {
             'version': self._routes.version,
             'load': standing.load,
@@ -341,6 +342,8 @@
         return flow
 
     def _open(self, now: float, flow: _flow.Flow) -> None:
+        opened = self.tally.histograms[_tally.OPEN_SECONDS]
+        opened.observe(now - flow.begun_at)
         flow.is_open = True
         flow.first = b''
         self._health.note_heard(now, flow.standing)
@@ -387,7 +390,7 @@
         return self._refuse(packet, Reason.NO_ROUTE)
 
     def _refuse(self, packet: _packet.Packet, reason: str) -> list[object]:
-        self.counters[f'reset.{reason}'] += 1
+        self.tally.count(_tally.RESET, reason)
         details = {'version': self._routes.version}
         return [
             _effect.Record('reset', reason, packet.flow, details=details),
@@ -395,7 +398,7 @@
         ]
 
     def _drop(self, reason: str) -> list[object]:
-        self.counters[f'drop.{reason}'] += 1
+        self.tally.count(_tally.DROPPED, reason)
         return [_effect.Drop(reason)]
 
     def _hold(
@@ -403,7 +406,7 @@
     ) -> list[object]:
         if len(self._held) >= _HELD_PACKETS:
             return self._drop(reason)
-        self.counters[f'hold.{reason}'] += 1
+        self.tally.count(_tally.HELD, reason)
         self._held.append((now + _HELD_SECONDS, packet))
         return []
 
@@ -420,7 +423,7 @@
     def _expire_held(self, now: float) -> None:
         while self._held and self._held[0][0] < now:
             self._held.popleft()
-            self.counters['drop.held-too-long'] += 1
+            self.tally.count(_tally.DROPPED, _tally.HELD_TOO_LONG)
 
 
 def _record_change(
--- a/skylarkfold/affinity/_ending.py
+++ b/skylarkfold/affinity/_ending.py
@@ -7,6 +7,7 @@
 from skylarkfold.affinity import _packet
 from skylarkfold.affinity import _settings
 from skylarkfold.affinity import _standing
+from skylarkfold.affinity import _tally
 
 Reason = _effect.Reason
 
@@ -16,16 +17,19 @@
 
     :param settings: how long a verdict counts.
     :param flows: the flows carried here.
+    :param tally: where resets are counted.
     """
 
-    __slots__ = ('_flows', '_settings')
+    __slots__ = ('_flows', '_settings', '_tally')
 
     def __init__(
         self,
         settings: _settings.AffinitySettings,
         flows: _flow.FlowTable,
+        tally: _tally.Tally,
     ) -> None:
         self._settings = settings
+        self._tally = tally
         self._flows = flows
 
     def end_flow(
@@ -71,6 +75,7 @@
         if standing.is_replaced:
             reason = Reason.REPLACED
         self._flows.remove(flow)
+        self._tally.count(_tally.RESET, reason)
         waited = flow.waiting_since
         details = {
             'waited_ms': 0 if waited is None else to_ms(now - waited),
--- a/skylarkfold/affinity/_flow.py
+++ b/skylarkfold/affinity/_flow.py
@@ -21,6 +21,7 @@
     :param standing: its upstream.
     :param now: the time.
     :ivar is_open: whether the caller has answered its upstream.
+    :ivar begun_at: when its first packet came here.
     :ivar placed_at: when its first packet was last sent to an upstream.
     :ivar seen_at: when its last packet came.
     :ivar waiting_since: when the caller sent a request that nothing has
@@ -36,6 +37,7 @@
 
     __slots__ = (
         'acknowledged',
+        'begun_at',
         'first',
         'is_closed',
         'is_counted',
@@ -55,6 +57,7 @@
     ) -> None:
         self.key = key
         self.standing = standing
+        self.begun_at = now
         self.placed_at = now
         self.seen_at = now
         self.is_open = False
--- a/skylarkfold/affinity/_health.py
+++ b/skylarkfold/affinity/_health.py
@@ -21,6 +21,7 @@
 from skylarkfold.affinity import _patience
 from skylarkfold.affinity import _settings
 from skylarkfold.affinity import _standing
+from skylarkfold.affinity import _tally
 
 Health = _standing.Health
 Outcome = _effect.ProbeOutcome
@@ -34,6 +35,7 @@
     :param settings: the limits.
     :param directory: all upstreams.
     :param ending: resets the flows of upstreams that are gone.
+    :param tally: where durations are counted.
     """
 
     def __init__(
@@ -42,11 +44,13 @@
         settings: _settings.AffinitySettings,
         directory: _directory.Directory,
         ending: _ending.Ending,
+        tally: _tally.Tally,
     ) -> None:
         self._zone = zone
         self._settings = settings
         self._directory = directory
         self._ending = ending
+        self._histograms = tally.histograms
         self._patience = _patience.Patience(settings)
         self._waits: collections.deque[tuple[float, _flow.Flow]] = (
             collections.deque()
@@ -154,6 +158,8 @@
         if standing.health == Health.OUT_OF_REACH:
             return []
         standing.health = Health.OUT_OF_REACH
+        silent = now - standing.silent_since
+        self._histograms[_tally.DOUBT_SECONDS].observe(silent)
         effects: list[object] = [self._record(now, standing, outcome)]
         effects += self._ending.end_flows(now, standing)
         return effects + self._doubt_zone(now, standing)
@@ -187,7 +193,9 @@
         self.note_heard(now, flow.standing)
         if flow.waiting_since is not None:
             service = flow.standing.upstream.service
-            self._patience.note(service, now - flow.waiting_since)
+            waited = now - flow.waiting_since
+            self._patience.note(service, waited)
+            self._histograms[_tally.ANSWER_SECONDS].observe(waited)
             flow.waiting_since = None
 
     def _judge_wait(self, now: float, flow: _flow.Flow) -> list[object]:
--- /dev/null
+++ b/skylarkfold/affinity/_tally.py
@@ -0,0 +1,45 @@
+"""Counters and histograms of the decisions; all names are here."""
+
+from __future__ import annotations
+
+import collections
+
+from skylarkfold import histogram
+
+# Counters, each followed by a dot and a reason of ``Reason``.
+OPENED = 'open'
+RESET = 'reset'
+DROPPED = 'drop'
+HELD = 'hold'
+# The reason of a drop that no decision has.
+HELD_TOO_LONG = 'held-too-long'
+
+# Histograms of seconds.
+OPEN_SECONDS = 'open_seconds'
+ANSWER_SECONDS = 'answer_seconds'
+DOUBT_SECONDS = 'doubt_seconds'
+
+
+class Tally:
+    """What is counted on an instance.
+
+    :ivar counters: by name.
+    :ivar histograms: by name.
+    """
+
+    __slots__ = ('counters', 'histograms')
+
+    def __init__(self) -> None:
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.histograms = {
+            name: histogram.Histogram()
+            for name in (OPEN_SECONDS, ANSWER_SECONDS, DOUBT_SECONDS)
+        }
+
+    def count(self, name: str, reason: str) -> None:
+        """Count an event.
+
+        :param name: one of this module's counters.
+        :param reason: why.
+        """
+        self.counters[f'{name}.{reason}'] += 1
--- /dev/null
+++ b/skylarkfold/explain/_story.py
@@ -0,0 +1,148 @@
+"""What happened to one flow, in order."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from skylarkfold.explain import _clocks
+from skylarkfold.explain import _line
+
+# Lines about the process and its surroundings belong to the story from so
+# long before the flow's first line to so long after its last.
+_AROUND_SECONDS = 5.0
+_PROCESS = (
+    'started',
+    'ready',
+    'stopping',
+    'leaving',
+    'stopped',
+    'settings',
+    'dependency',
+    'relay',
+    'lines left out',
+)
+_KNOWLEDGE = ('routes',)
+_UPSTREAM = ('upstream', 'health')
+
+
+class Event:
+    """A line with its time on the reference clock.
+
+    :param at: seconds after the flow's first line.
+    :param line: the line.
+    :param is_flow: whether it names the flow.
+    """
+
+    __slots__ = ('at', 'is_flow', 'line')
+
+    def __init__(self, at: float, line: _line.Line, is_flow: bool) -> None:
+        self.at = at
+        self.line = line
+        self.is_flow = is_flow
+
+
+class Story:
+    """All that is known of one flow.
+
+    :param flow: the flow, as far as it was given.
+    :param events: in order.
+    :param clocks: the clocks of the instances in it.
+    :param reference: whose clock the times are of.
+    """
+
+    __slots__ = ('clocks', 'events', 'flow', 'reference')
+
+    def __init__(
+        self,
+        flow: str,
+        events: list[Event],
+        clocks: dict[str, _clocks.Clock],
+        reference: str,
+    ) -> None:
+        self.flow = flow
+        self.events = events
+        self.clocks = clocks
+        self.reference = reference
+
+    @property
+    def own_lines(self) -> list[_line.Line]:
+        """The lines that name the flow."""
+        return [event.line for event in self.events if event.is_flow]
+
+    @property
+    def upstreams(self) -> list[str]:
+        """The upstreams that it was sent to, in order."""
+        found: list[str] = []
+        for line in self.own_lines:
+            name = line.get('upstream')
+            if name and name not in found:
+                found.append(name)
+        return found
+
+
+def tell(flow: str, lines: Iterable[_line.Line]) -> Story:
+    """Put the story of a flow together.
+
+    :param flow: ``CALLER:PORT>ADDRESS:PORT``, or the caller's part of it.
+    :param lines: the lines of all instances.
+    :returns: the story; without events if no line names the flow.
+    """
+    known = list(lines)
+    reference, clocks = _clocks.align(known)
+    times = {id(line): _adjust(line, clocks) for line in known}
+    own = [line for line in known if _names(line, flow)]
+    if not own:
+        return Story(flow, [], clocks, reference)
+    begin = min(times[id(line)] for line in own)
+    end = max(times[id(line)] for line in own)
+    instances = {line.instance for line in own}
+    upstreams = {line.get('upstream') for line in own} - {''}
+    events = []
+    for line in known:
+        is_own = _names(line, flow)
+        at = times[id(line)]
+        is_near = begin - _AROUND_SECONDS <= at <= end + _AROUND_SECONDS
+        if is_own or (
+            is_near
+            and line.instance in instances
+            and _is_context(line, upstreams)
+        ):
+            events.append(Event(at - begin, line, is_own))
+    events += _find_knowledge(known, times, instances, begin)
+    # Lines of one instance keep their order, whatever its clock does.
+    events.sort(key=lambda event: (event.at, event.line.place))
+    return Story(flow, events, clocks, reference)
+
+
+def _adjust(line: _line.Line, clocks: dict[str, _clocks.Clock]) -> float:
+    return line.time - clocks[line.instance].offset
+
+
+def _names(line: _line.Line, flow: str) -> bool:
+    named = line.get('flow')
+    return named == flow or named.startswith(f'{flow}>')
+
+
+def _is_context(line: _line.Line, upstreams: set[str]) -> bool:
+    if line.message in _PROCESS:
+        return True
+    return line.message in _UPSTREAM and line.get('upstream') in upstreams
+
+
+def _find_knowledge(
+    lines: list[_line.Line],
+    times: dict[int, float],
+    instances: set[str],
+    begin: float,
+) -> list[Event]:
+    """Find the routes that each instance had when the flow began."""
+    last: dict[str, _line.Line] = {}
+    for line in lines:
+        is_before = times[id(line)] <= begin
+        if line.message in _KNOWLEDGE and is_before:
+            last[line.instance] = line
+    return [
+        Event(times[id(line)] - begin, line, False)
+        for name, line in last.items()
+        if name in instances
+    ]
--- a/skylarkfold/forwarder/__init__.py
+++ b/skylarkfold/forwarder/__init__.py
@@ -6,6 +6,9 @@
 """
 
 from skylarkfold.forwarder._daemon import Forwarder
+from skylarkfold.forwarder._own import OwnSettings
+from skylarkfold.forwarder._own import parse_own_settings
+from skylarkfold.forwarder._own import read_own_settings
 from skylarkfold.forwarder._platform import Platform
 from skylarkfold.forwarder._platform import Store
 from skylarkfold.forwarder._settings import ForwarderSettings
@@ -13,6 +16,9 @@
 __all__ = [
     'Forwarder',
     'ForwarderSettings',
+    'OwnSettings',
     'Platform',
     'Store',
+    'parse_own_settings',
+    'read_own_settings',
 ]
--- a/skylarkfold/forwarder/_lines.py
+++ b/skylarkfold/forwarder/_lines.py
@@ -1,8 +1,8 @@
 """Structured log lines that never hold up the process.
 
 Lines wait in memory and are written only as far as the reader takes them.
-Beyond the limit they are left out and counted, and the count is said in a
-line of its own.
+Decisions have a budget of lines a second. What is left out is counted, and
+the count is said in a line of its own.
 """
 
 from __future__ import annotations
@@ -14,24 +14,35 @@
 import select
 import time
 
+from skylarkfold import budget
+from skylarkfold.forwarder import _own
+
 LOGGER_NAME = 'skylarkfold'
 # A pipe that is ready takes this much without blocking (POSIX).
 _PORTION_BYTES = 4096
-# A reader that stands still costs at most about 1 MB.
-_WAITING_LINES = 4096
 
 
 class LineHandler(logging.Handler):
     """Formats records as JSON objects, one a line.
 
     :param instance: part of each line.
+    :param settings: how much is logged.
     :param descriptor: where lines are written.
     """
 
-    def __init__(self, instance: str, descriptor: int = 1) -> None:
+    def __init__(
+        self,
+        instance: str,
+        settings: _own.LogSettings,
+        descriptor: int = 1,
+    ) -> None:
         super().__init__()
         self._instance = instance
+        self._settings = settings
         self._descriptor = descriptor
+        self._budget = budget.CallBudget(
+            settings.lines_per_second, settings.burst_lines
+        )
         self._lines: collections.deque[bytes] = collections.deque()
         self._rest = b''
         self.left_out = 0
@@ -39,7 +50,8 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queue a record; its fields are in ``record.fields``."""
-        if len(self._lines) >= _WAITING_LINES:
+        is_full = len(self._lines) >= self._settings.waiting_lines
+        if is_full or not self._may_write(record):
             self.left_out += 1
             return
         fields = {
@@ -54,6 +66,12 @@
             fields['exception'] = formatter.formatException(record.exc_info)
         self._lines.append(_encode(fields))
 
+    def _may_write(self, record: logging.LogRecord) -> bool:
+        # Only decisions on single flows come in numbers.
+        if not getattr(record, 'is_budgeted', False):
+            return True
+        return self._budget.take(time.monotonic())
+
     def flush(self) -> None:
         """Write what the reader takes at once."""
         self._say_left_out()
@@ -79,7 +97,7 @@
 
     def _say_left_out(self) -> None:
         count = self.left_out - self._left_out_said
-        if count and len(self._lines) < _WAITING_LINES:
+        if count and len(self._lines) < self._settings.waiting_lines:
             self._left_out_said = self.left_out
             fields = {
                 'time': round(time.time(), 3),
@@ -96,13 +114,14 @@
     return text.encode() + b'\n'
 
 
-def configure(instance: str) -> LineHandler:
+def configure(instance: str, settings: _own.LogSettings) -> LineHandler:
     """Send the package's log records to standard output.
 
     :param instance: the instance's name.
+    :param settings: how much is logged.
     :returns: the handler, to be flushed now and then.
     """
-    handler = LineHandler(instance)
+    handler = LineHandler(instance, settings)
     logger = logging.getLogger(LOGGER_NAME)
     logger.handlers[:] = [handler]
     logger.propagate = False
--- /dev/null
+++ b/skylarkfold/forwarder/_own.py
@@ -0,0 +1,159 @@
+"""The settings that are skylarkfold's own, beside the platform's.
+
+JSON with comments: lines that begin with ``//`` are left out. All fields
+may be; the defaults are those of the settings classes.
+"""
+
+from __future__ import annotations
+
+import json
+
+from skylarkfold import affinity
+from skylarkfold import errors
+from skylarkfold import relay
+
+_COMMENT = '//'
+_MOST_PORT = 65535
+
+
+class LogSettings:
+    """How much is logged.
+
+    :param lines_per_second: decision lines in the long run; lines about
+        health, settings, the store and the process come on top.
+    :param burst_lines: how many may come at once after a rest.
+    :param waiting_lines: lines that wait for a reader that stands still;
+        more are left out. At 250 bytes a line, 1 MB.
+    """
+
+    __slots__ = ('burst_lines', 'lines_per_second', 'waiting_lines')
+
+    def __init__(
+        self,
+        lines_per_second: float = 200.0,
+        burst_lines: int = 1000,
+        waiting_lines: int = 4096,
+    ) -> None:
+        self.lines_per_second = lines_per_second
+        self.burst_lines = burst_lines
+        self.waiting_lines = waiting_lines
+
+
+class OwnSettings:
+    """All of them.
+
+    :param metrics_port: where metrics are shown; 0 for nowhere.
+    :param log: how much is logged.
+    :param affinity: limits of placement and health.
+    :param relay: how the store's objects are followed.
+    """
+
+    __slots__ = ('affinity', 'log', 'metrics_port', 'relay')
+
+    def __init__(
+        self,
+        metrics_port: int = 0,
+        log: LogSettings | None = None,
+        affinity: affinity.AffinitySettings | None = None,
+        relay: relay.RelaySettings | None = None,
+    ) -> None:
+        self.metrics_port = metrics_port
+        self.log = log or LogSettings()
+        self.affinity = affinity or _AFFINITY()
+        self.relay = relay or _RELAY()
+
+
+_AFFINITY = affinity.AffinitySettings
+_RELAY = relay.RelaySettings
+_SECTIONS = {'log': LogSettings, 'affinity': _AFFINITY, 'relay': _RELAY}
+
+
+def read_own_settings(path: str) -> OwnSettings:
+    """Read the settings.
+
+    :param path: the file; empty for all defaults.
+    :returns: the settings.
+    :raises SettingsError: with file, place, reason and code, if they can't
+        be read or used.
+    """
+    if not path:
+        return OwnSettings()
+    try:
+        with open(path, encoding='utf-8') as file:
+            text = file.read()
+    except OSError as error:
+        reason = error.strerror or str(error)
+        raise errors.SettingsUnreadableError(reason, path) from None
+    except UnicodeDecodeError as error:
+        raise errors.SettingsUnreadableError(str(error), path) from None
+    return parse_own_settings(text, path)
+
+
+def parse_own_settings(text: str, source: str) -> OwnSettings:
+    """Read the settings from a text.
+
+    :param text: JSON with comment lines.
+    :param source: the file, for messages.
+    :returns: the settings.
+    :raises SettingsError: as :func:`read_own_settings` does.
+    """
+    # Comments become empty lines, so that errors name the right line.
+    lines = [
+        '' if line.lstrip().startswith(_COMMENT) else line
+        for line in text.split('\n')
+    ]
+    try:
+        fields = json.loads('\n'.join(lines))
+    except (ValueError, RecursionError) as error:
+        raise errors.SettingsSyntaxError(str(error), source) from None
+    _check_object(fields, source, '$')
+    values: dict[str, object] = {}
+    for name, value in fields.items():
+        place = f'$.{name}'
+        if name in _SECTIONS:
+            values[name] = _convert(_SECTIONS[name], value, source, place)
+        elif name == 'metrics_port':
+            values[name] = _check_port(value, source, place)
+        else:
+            known = ', '.join(sorted([*_SECTIONS, 'metrics_port']))
+            raise errors.UnknownFieldError(f'known: {known}', source, place)
+    return OwnSettings(**values)
+
+
+def _convert(kind: type, fields: object, source: str, path: str) -> object:
+    _check_object(fields, source, path)
+    defaults = kind()
+    values = {}
+    for name, value in fields.items():
+        place = f'{path}.{name}'
+        default = getattr(defaults, name, None)
+        if isinstance(default, bool) or not isinstance(default, (int, float)):
+            known = ', '.join(kind.__slots__)
+            raise errors.UnknownFieldError(f'known: {known}', source, place)
+        values[name] = _check_number(value, type(default), source, place)
+    return kind(**values)
+
+
+def _check_object(value: object, source: str, path: str) -> None:
+    if not isinstance(value, dict):
+        raise errors.SettingsError('an object is wanted', source, path)
+
+
+def _check_port(value: object, source: str, path: str) -> int:
+    port = _check_number(value, int, source, path)
+    if port > _MOST_PORT:
+        raise errors.SettingsError('out of range', source, path)
+    return port
+
+
+def _check_number(
+    value: object, kind: type, source: str, path: str
+) -> int | float:
+    is_number = isinstance(value, (int, float)) and value is not True
+    if not is_number or value is False:
+        raise errors.SettingsError('a number is wanted', source, path)
+    if kind is int and not isinstance(value, int):
+        raise errors.SettingsError('a whole number is wanted', source, path)
+    if not 0 <= value < 1e9:
+        raise errors.SettingsError('out of range', source, path)
+    return kind(value)
--- a/skylarkfold/forwarder/_peers.py
+++ b/skylarkfold/forwarder/_peers.py
@@ -7,6 +7,7 @@
 
 from skylarkfold import datagram
 from skylarkfold import errors
+from skylarkfold.forwarder import _metrics
 from skylarkfold import reactor
 from skylarkfold import relay
 
@@ -68,7 +69,7 @@
                 self._socket.sendto(data, (host, self._port))
             except OSError as error:
                 # The next beacon follows soon; a host may be gone.
-                self._listener.count(f'beacon.send.{error.errno}')
+                self._listener.count(f'{_metrics.SEND_FAILED}.{error.errno}')
 
     def fetch(self, wanted: relay.Fetch) -> None:
         """Ask a peer for what is missing.
@@ -92,7 +93,7 @@
             try:
                 beacon = relay.decode_beacon(data)
             except errors.DecodeError:
-                self._listener.count('beacon.malformed')
+                self._listener.count(_metrics.BEACON_MALFORMED)
                 continue
             self._listener.take_beacon(sender[0], beacon)
 
@@ -130,7 +131,7 @@
             try:
                 page = relay.decode_page(bytes(self._data))
             except errors.DecodeError as error:
-                self._listener.count('page.malformed')
+                self._listener.count(_metrics.PAGE_MALFORMED)
                 _logger.warning('a page is malformed: %s', error)
         self._listener.take_page(self._wanted, page)
 
@@ -159,7 +160,7 @@
             topic, position = relay.decode_fetch(self._data)
         except errors.DecodeError:
             if len(self._data) > _FETCH_BYTES:
-                self._listener.count('fetch.malformed')
+                self._listener.count(_metrics.FETCH_MALFORMED)
                 self._stream.close('malformed')
             return
         page = self._listener.take_fetch(topic, position)
--- /dev/null
+++ b/skylarkfold/forwarder/_reporter.py
@@ -0,0 +1,114 @@
+"""Log lines, counters and histograms of one instance."""
+
+from __future__ import annotations
+
+import collections
+import logging
+
+from skylarkfold import affinity
+from skylarkfold.forwarder import _lines
+from skylarkfold.forwarder import _metrics
+from skylarkfold.forwarder import _own
+from skylarkfold import histogram
+
+_logger = logging.getLogger(_lines.LOGGER_NAME)
+
+
+class Reporter:
+    """Tells what the instance decides and how it fares.
+
+    :param instance: its name.
+    :param settings: how much is logged.
+    """
+
+    __slots__ = ('_handler', '_lost', 'counters', 'histograms')
+
+    def __init__(self, instance: str, settings: _own.LogSettings) -> None:
+        self._handler = _lines.configure(instance, settings)
+        self._lost: dict[str, float] = {}
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.histograms = {
+            name: histogram.Histogram()
+            for name in (_metrics.LAG_SECONDS, _metrics.STORE_SECONDS)
+        }
+
+    def count(self, name: str) -> None:
+        """Count an event.
+
+        :param name: one of the names in ``_metrics``.
+        """
+        self.counters[name] += 1
+
+    def log(
+        self, message: str, level: int = logging.INFO, **fields: object
+    ) -> None:
+        """Write a line about the process.
+
+        :param message: what happened.
+        :param level: one of :mod:`logging`.
+        :param fields: what decided it, by name.
+        """
+        _logger.log(level, message, extra={'fields': fields})
+
+    def record(self, decision: affinity.Record) -> None:
+        """Write a line for a decision.
+
+        :param decision: the decision.
+        """
+        fields: dict[str, object] = {'reason': decision.reason}
+        if decision.flow:
+            fields['flow'] = affinity.format_flow(decision.flow)
+        if decision.upstream:
+            fields['upstream'] = decision.upstream
+        fields.update(decision.details)
+        extra = {'fields': fields, 'is_budgeted': bool(decision.flow)}
+        _logger.info(decision.kind, extra=extra)
+
+    def note_dependency(self, now: float, name: str, reason: str) -> None:
+        """Write a line when a dependency is lost, and when it is back.
+
+        :param now: the time.
+        :param name: the dependency.
+        :param reason: why it failed; empty if it did not.
+        """
+        lost_at = self._lost.get(name)
+        if reason and lost_at is None:
+            self._lost[name] = now
+            self.log(
+                'dependency',
+                logging.WARNING,
+                name=name,
+                reason='lost',
+                cause=reason,
+            )
+        elif not reason and lost_at is not None:
+            del self._lost[name]
+            away = int((now - lost_at) * 1000)
+            self.log('dependency', name=name, reason='regained', away_ms=away)
+
+    def flush(self) -> None:
+        """Write waiting lines as far as they are read."""
+        self._handler.flush()
+
+    def format_metrics(
+        self, core: affinity.AffinityCore, gauges: dict[str, float]
+    ) -> bytes:
+        """Write all metrics as text.
+
+        :param core: the decisions, with counters of their own.
+        :param gauges: present values by name.
+        :returns: the text.
+        """
+        totals = self.list_totals(core)
+        histograms = {**core.tally.histograms, **self.histograms}
+        return _metrics.format_metrics(totals, gauges, histograms)
+
+    def list_totals(self, core: affinity.AffinityCore) -> dict[str, int]:
+        """List all counters.
+
+        :param core: the decisions, with counters of their own.
+        :returns: totals by name.
+        """
+        totals = {**core.tally.counters, **self.counters}
+        totals[_metrics.LINES_LEFT_OUT] = self._handler.left_out
+        return dict(sorted(totals.items()))
--- a/skylarkfold/forwarder/_settings.py
+++ b/skylarkfold/forwarder/_settings.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from skylarkfold import affinity
-from skylarkfold import relay
+from skylarkfold.forwarder import _own
 
 
 class ForwarderSettings:
@@ -20,19 +19,17 @@
     :param capacity: what the machine has to spare; duties go to those
         first that have more of it.
     :param grace_seconds: how long a planned stop may take.
-    :param affinity: limits of placement and health.
-    :param relay: how the store's objects are followed.
+    :param own: what is not the platform's to say.
     """
 
     __slots__ = (
-        'affinity',
         'capacity',
         'grace_seconds',
         'name',
+        'own',
         'packet_address',
         'peer_address',
         'ready_address',
-        'relay',
         'seeds',
         'store_address',
         'zone',
@@ -49,8 +46,7 @@
         seeds: tuple[str, ...] = (),
         capacity: int = 0,
         grace_seconds: float = 6.0,
-        affinity: affinity.AffinitySettings | None = None,
-        relay: relay.RelaySettings | None = None,
+        own: _own.OwnSettings | None = None,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -61,8 +57,7 @@
         self.store_address = store_address
         self.capacity = capacity
         self.grace_seconds = grace_seconds
-        self.affinity = affinity or _make_affinity()
-        self.relay = relay or _make_relay()
+        self.own = own or _own.OwnSettings()
 
     def list_addresses(self) -> tuple[tuple[str, int], ...]:
         """List what sockets are bound to or opened towards."""
@@ -72,11 +67,3 @@
             self.peer_address,
             self.store_address,
         )
-
-
-def _make_affinity() -> affinity.AffinitySettings:
-    return affinity.AffinitySettings()
-
-
-def _make_relay() -> relay.RelaySettings:
-    return relay.RelaySettings()
--- a/skylarkfold/platform/__main__.py
+++ b/skylarkfold/platform/__main__.py
@@ -1,5 +1,8 @@
 """Runs one instance on the users' platform.
 
+``python -m skylarkfold.platform [OWN-SETTINGS]``; the platform's settings
+file stands in the environment.
+
 The packet socket is bound first and the rest of the program loaded then:
 that takes about 40 ms of processor time, a sixth of a second on the
 smallest machines, and packets that come meanwhile wait in the kernel
@@ -28,7 +31,8 @@
         path = _settings.find_path()
         settings = _settings.read_settings(path)
         packets = datagram.bind(settings.packet_address)
-        _serve(settings, path, packets)
+        own_path = sys.argv[1] if len(sys.argv) > 1 else ''
+        _serve(settings, path, own_path, packets)
     except errors.SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
@@ -39,14 +43,17 @@
 
 
 def _serve(
-    settings: _settings.PlatformSettings, path: str, packets: socket.socket
+    settings: _settings.PlatformSettings,
+    path: str,
+    own_path: str,
+    packets: socket.socket,
 ) -> None:
     from skylarkfold import forwarder
     from skylarkfold.platform import _adapter
 
-    adapter = _adapter.Adapter(settings, path)
-    own = _adapter.build_settings(settings)
-    forwarder.Forwarder(own, adapter, packets).run()
+    adapter = _adapter.Adapter(settings, path, own_path)
+    instance = _adapter.build_settings(settings, own_path)
+    forwarder.Forwarder(instance, adapter, packets).run()
 
 
 if __name__ == '__main__':
--- a/skylarkfold/platform/_adapter.py
+++ b/skylarkfold/platform/_adapter.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-from skylarkfold import affinity
 from skylarkfold import forwarder
 from skylarkfold.platform import _objects
 from skylarkfold.platform import _packet
 from skylarkfold.platform import _settings
 from skylarkfold.platform import _store
 from skylarkfold import reactor
-from skylarkfold import relay
 
 # A machine's capacity is counted in these, by whichever it has less of.
 _CORES_STEP = 0.1
@@ -22,16 +20,21 @@
 
     :param settings: the platform's settings file as read.
     :param path: the file.
+    :param own_path: the file of our own settings.
     """
 
     routes_topic = _objects.ROUTES_TOPIC
     upstreams_topic = _objects.UPSTREAMS_TOPIC
 
     def __init__(
-        self, settings: _settings.PlatformSettings, path: str
+        self,
+        settings: _settings.PlatformSettings,
+        path: str,
+        own_path: str = '',
     ) -> None:
         self._settings = settings
         self._path = path
+        self._own_path = own_path
         self._read_as = _settings.identify(path)
         self.decode_packet = _packet.decode
         self.encode_forward = _packet.encode_forward
@@ -63,7 +66,7 @@
             return None
         self._read_as = read_as
         self._settings = _settings.read_settings(self._path)
-        return build_settings(self._settings)
+        return build_settings(self._settings, self._own_path)
 
     def open_store(self, loop: reactor.Loop) -> _store.StoreClient:
         """Make a client of the store."""
@@ -72,13 +75,19 @@
 
 
 def build_settings(
-    settings: _settings.PlatformSettings,
+    settings: _settings.PlatformSettings, own_path: str
 ) -> forwarder.ForwarderSettings:
-    """Tell an instance what the platform's settings file says.
+    """Put an instance's settings together.
 
-    :param settings: the file as read.
+    :param settings: the platform's settings file as read.
+    :param own_path: the file of our own settings; empty for defaults.
     :returns: the instance's settings.
+    :raises SettingsError: if our own settings can't be used.
     """
+    own = forwarder.read_own_settings(own_path)
+    # What the platform alone knows.
+    own.affinity.flow_seconds = settings.flow_seconds
+    own.relay.topics = _objects.TOPICS
     return forwarder.ForwarderSettings(
         name=settings.name,
         zone=settings.zone,
@@ -89,8 +98,7 @@
         seeds=settings.seeds,
         capacity=_measure_capacity(settings),
         grace_seconds=settings.grace_seconds,
-        affinity=affinity.AffinitySettings(flow_seconds=settings.flow_seconds),
-        relay=relay.RelaySettings(topics=_objects.TOPICS),
+        own=own,
     )
 
 
--- /dev/null
+++ b/skylarkfold/platform/check.py
@@ -0,0 +1,71 @@
+"""Checks of the files that an instance on the users' platform reads."""
+
+from __future__ import annotations
+
+import pathlib
+import tomllib
+
+from skylarkfold import errors
+from skylarkfold import forwarder
+from skylarkfold.platform import _settings
+
+# What the deploy file says of a role's own settings: they stand after the
+# module's name.
+_MODULE = 'skylarkfold.platform'
+
+
+def check(path: str, kind: str) -> str:
+    """Check a file.
+
+    :param path: the file.
+    :param kind: ``own``, ``platform`` or ``deploy``.
+    :returns: what was found, in a few words.
+    :raises SettingsError: with file, place, reason and code.
+    :raises UsageError: if there is no such kind.
+    """
+    if kind == 'own':
+        own = forwarder.read_own_settings(path)
+        return f'valid own settings, metrics at port {own.metrics_port}'
+    if kind == 'platform':
+        settings = _settings.read_settings(path)
+        return f'valid platform settings of {settings.name}'
+    if kind == 'deploy':
+        return _check_deploy(path)
+    raise errors.UsageError(f'{kind!r} is none of own, platform, deploy')
+
+
+def _check_deploy(path: str) -> str:
+    try:
+        fields = tomllib.loads(pathlib.Path(path).read_text())
+    except OSError as error:
+        reason = error.strerror or str(error)
+        raise errors.SettingsUnreadableError(reason, path) from None
+    except ValueError as error:
+        raise errors.SettingsSyntaxError(str(error), path) from None
+    roles = fields.get('roles')
+    if not isinstance(roles, dict) or not roles:
+        raise errors.MissingFieldError('no role', path, '$.roles')
+    if not isinstance(fields.get('build'), str):
+        raise errors.MissingFieldError('a text is wanted', path, '$.build')
+    for name, role in roles.items():
+        _check_role(path, f'$.roles.{name}', role)
+    return f'valid deploy file, {len(roles)} roles'
+
+
+def _check_role(path: str, place: str, role: object) -> None:
+    if not isinstance(role, dict):
+        raise errors.SettingsError('a table is wanted', path, place)
+    words = str(role.get('run', '')).split()
+    if _MODULE not in words:
+        reason = f'it does not run {_MODULE}'
+        raise errors.SettingsError(reason, path, f'{place}.run')
+    own = words[words.index(_MODULE) + 1 :]
+    metrics = str(role.get('metrics', ''))
+    root = pathlib.Path(path).parent.parent
+    settings = forwarder.OwnSettings()
+    if own:
+        settings = forwarder.read_own_settings(str(root / own[0]))
+    port = metrics.partition('/')[0]
+    if metrics and port != str(settings.metrics_port):
+        reason = f'own settings have port {settings.metrics_port}'
+        raise errors.SettingsError(reason, path, f'{place}.metrics')
--- a/skylarkfold/soak/_instance.py
+++ b/skylarkfold/soak/_instance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import pathlib
 import signal
@@ -13,6 +14,8 @@
 
 _RESTART_SECONDS = 0.3
 _LOOK_SECONDS = 0.05
+# The port of the metrics, from the first one that instances use.
+_METRICS_OFFSET = 9
 
 
 class Instance:
@@ -24,6 +27,7 @@
     :param zone: its availability zone.
     :param host: its address.
     :ivar own_ends: exit statuses of ends that nobody asked for.
+    :ivar output: where its lines go; its log file where left out.
     """
 
     def __init__(
@@ -39,8 +43,10 @@
         self.host = host
         self.own_ends: list[int] = []
         self.is_wanted = True
+        self.output: int | None = None
         self._loop = loop
         self._path = folder / f'{name}.toml'
+        self._own_path = folder / f'{name}.json'
         self._log_path = folder / f'{name}.log'
         self._process: subprocess.Popen | None = None
         self._is_ending = False
@@ -59,15 +65,24 @@
         packets.write_settings(
             self._path, self.name, self.zone, self.host, *self._settings
         )
+        own = {'metrics_port': self.metrics_address[1]}
+        self._own_path.write_text(json.dumps(own))
+
+    @property
+    def metrics_address(self) -> tuple[str, int]:
+        """Where it shows its metrics."""
+        return self.host, self._settings[0] + _METRICS_OFFSET
 
     def start(self) -> None:
         """Start the process and watch it."""
         environment = dict(os.environ, SKYLARKFOLD_CONFIG=str(self._path))
+        command = [sys.executable, '-m', 'skylarkfold.platform']
+        command.append(str(self._own_path))
         with open(self._log_path, 'ab') as log:
             self._process = subprocess.Popen(
-                [sys.executable, '-m', 'skylarkfold.platform'],
+                command,
                 env=environment,
-                stdout=log,
+                stdout=log if self.output is None else self.output,
                 stderr=log,
             )
         self._is_ending = False
--- /dev/null
+++ b/skylarkfold/tests/forwarder/test_lines.py
@@ -0,0 +1,87 @@
+"""Tests of log lines: bounded, never blocking."""
+
+import json
+import logging
+import os
+
+import testtools
+
+from skylarkfold.forwarder import _lines
+from skylarkfold.forwarder import _own
+
+
+class LinesTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+
+    def build(self, **fields):
+        settings = _own.LogSettings(**fields)
+        return _lines.LineHandler('one', settings, self.writer)
+
+    def emit(self, handler, message='m', **extra):
+        record = logging.LogRecord(
+            'x', logging.INFO, 'p', 1, message, (), None
+        )
+        for name, value in extra.items():
+            setattr(record, name, value)
+        handler.emit(record)
+
+    def read(self):
+        os.set_blocking(self.reader, False)
+        data = b''
+        while True:
+            try:
+                part = os.read(self.reader, 65536)
+            except BlockingIOError:
+                break
+            if not part:
+                break
+            data += part
+        return [json.loads(line) for line in data.splitlines()]
+
+    def test_a_record_is_one_object(self):
+        handler = self.build()
+        self.emit(handler, fields={'reason': 'placed'})
+        handler.flush()
+        (line,) = self.read()
+        self.assertEqual('placed', line['reason'])
+        self.assertEqual('one', line['instance'])
+
+    def test_a_reader_that_stands_still_blocks_nothing(self):
+        handler = self.build(waiting_lines=100)
+        for _ in range(50):
+            for _ in range(100):
+                self.emit(handler, 'm' * 500)
+            handler.flush()
+        self.assertGreater(handler.left_out, 0)
+        before = len(self.read())
+        self.assertGreater(before, 0)
+        handler.flush()
+        self.emit(handler, 'last')
+        handler.flush()
+        messages = [line['message'] for line in self.read()]
+        self.assertIn('lines left out', messages)
+        self.assertIn('last', messages)
+
+    def test_lines_on_flows_have_a_budget_and_others_none(self):
+        handler = self.build(lines_per_second=0.001, burst_lines=2)
+        for _ in range(5):
+            self.emit(handler, 'flow', is_budgeted=True)
+        self.emit(handler, 'health')
+        handler.flush()
+        messages = [line['message'] for line in self.read()]
+        self.assertEqual(2, messages.count('flow'))
+        self.assertEqual(1, messages.count('health'))
+        self.assertEqual(3, handler.left_out)
+        self.assertIn('lines left out', messages)
+
+    def test_a_reader_that_is_gone_ends_nothing(self):
+        reader, writer = os.pipe()
+        os.close(reader)
+        self.addCleanup(os.close, writer)
+        handler = _lines.LineHandler('one', _own.LogSettings(), writer)
+        self.emit(handler)
+        handler.flush()
