A verdict is told to the peers of the zone, who look for themselves

Change: a proven verdict goes to the neighbours; each that has not heard the upstream within its patience probes at once, and resets on its own verdict only.

--- a/skylarkfold/affinity/__init__.py
+++ b/skylarkfold/affinity/__init__.py
@@ -17,6 +17,7 @@
 from skylarkfold.affinity._effect import Reason
 from skylarkfold.affinity._effect import Record
 from skylarkfold.affinity._effect import Reset
+from skylarkfold.affinity._effect import TellPeers
 from skylarkfold.affinity._packet import format_flow
 from skylarkfold.affinity._packet import pack_address
 from skylarkfold.affinity._packet import Packet
@@ -39,6 +40,7 @@
     'Reset',
     'Route',
     'RouteTable',
+    'TellPeers',
     'Upstream',
     'format_flow',
     'pack_address',
--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -191,6 +191,20 @@
             if standing is not None:
                 self._health.take_heard(now, standing, now - age)
 
+    def take_lost(self, now: float, tokens: Iterable[int]) -> list[object]:
+        """Take that a peer of this zone found upstreams out of reach.
+
+        :param now: the time.
+        :param tokens: the upstreams' tokens.
+        :returns: effects.
+        """
+        effects: list[object] = []
+        for token in tokens:
+            standing = self._directory.find(token)
+            if standing is not None:
+                effects += self._health.take_lost(now, standing)
+        return effects
+
     def take_probe(self, now: float, name: str, outcome: str) -> list[object]:
         """Take the end of a probe.
 
--- a/skylarkfold/affinity/_effect.py
+++ b/skylarkfold/affinity/_effect.py
@@ -79,6 +79,18 @@
         self.upstream = upstream
 
 
+class TellPeers:
+    """Tell the peers of this zone that an upstream was found lost.
+
+    They look for themselves; see ``AffinityCore.take_lost``.
+    """
+
+    __slots__ = ('upstream',)
+
+    def __init__(self, upstream: _upstream.Upstream) -> None:
+        self.upstream = upstream
+
+
 class Probe:
     """Find out whether an upstream takes connections.
 
--- a/skylarkfold/affinity/_health.py
+++ b/skylarkfold/affinity/_health.py
@@ -129,6 +129,26 @@
         if standing.health == Health.DOUBTED and self._is_answering(standing):
             self._dismiss(now, standing)
 
+    def take_lost(
+        self, now: float, standing: _standing.Standing
+    ) -> list[object]:
+        """Take that a peer of this zone found an upstream out of reach.
+
+        It may be the peer's fault: this instance probes for itself.
+
+        :param now: the time.
+        :param standing: the upstream.
+        :returns: effects.
+        """
+        recent = now - self._settings.answer_patience_seconds
+        is_known = standing.health != Health.GOOD or standing.is_replaced
+        if is_known or standing.last_heard >= recent:
+            return []
+        standing.health = Health.DOUBTED
+        standing.silent_since = max(recent, standing.last_heard)
+        self._suspects[standing.upstream.name] = standing
+        return self._probe(now, standing)
+
     def take_probe(self, now: float, name: str, outcome: str) -> list[object]:
         """Take the end of a probe.
 
@@ -161,6 +181,8 @@
         silent = now - standing.silent_since
         self._histograms[_tally.DOUBT_SECONDS].observe(silent)
         effects: list[object] = [self._record(now, standing, outcome)]
+        if standing.is_proven:
+            effects.append(_effect.TellPeers(standing.upstream))
         effects += self._ending.end_flows(now, standing)
         return effects + self._doubt_zone(now, standing)
 
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -80,12 +80,14 @@
             affinity.AskPeers: self._ask_peers,
             affinity.Probe: self._probe,
             affinity.Record: self._reporter.record,
+            affinity.TellPeers: self._tell_peers,
             relay.CallStore: self._call_store,
             relay.Changed: self._take_change,
             relay.Fetch: self._peers.fetch,
             relay.Note: self._note,
             relay.TakeHeard: self._take_heard,
             relay.TakeLoad: self._take_load,
+            relay.TakeLost: self._take_lost,
             relay.TellHeard: self._tell_heard,
             relay.SendBeacon: self._peers.send,
         }
@@ -192,6 +194,14 @@
         tokens = (wanted.upstream.token,)
         self._perform(self._relay.ask(self._loop.now(), tokens))
 
+    def _tell_peers(self, wanted: affinity.TellPeers) -> None:
+        tokens = (wanted.upstream.token,)
+        self._perform(self._relay.tell_lost(self._loop.now(), tokens))
+
+    def _take_lost(self, wanted: relay.TakeLost) -> None:
+        now = self._loop.now()
+        self._perform(self._affinity.take_lost(now, wanted.tokens))
+
     def _tell_heard(self, wanted: relay.TellHeard) -> None:
         now = self._loop.now()
         heard = self._affinity.list_heard(now, wanted.tokens)
--- a/skylarkfold/relay/__init__.py
+++ b/skylarkfold/relay/__init__.py
@@ -16,6 +16,7 @@
 from skylarkfold.relay._effect import SendBeacon
 from skylarkfold.relay._effect import TakeHeard
 from skylarkfold.relay._effect import TakeLoad
+from skylarkfold.relay._effect import TakeLost
 from skylarkfold.relay._effect import TellHeard
 from skylarkfold.relay._item import Item
 from skylarkfold.relay._messages import Beacon
@@ -41,6 +42,7 @@
     'Page',
     'TakeHeard',
     'TakeLoad',
+    'TakeLost',
     'TellHeard',
     'Position',
     'RelayCore',
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -182,6 +182,8 @@
             effects.append(_effect.TellHeard(host, beacon.doubts))
         if beacon.heard:
             effects.append(_effect.TakeHeard(beacon.heard))
+        if beacon.lost and beacon.zone == self._own.zone:
+            effects.append(_effect.TakeLost(beacon.lost))
         if beacon.wants_answer or is_new:
             known = self._peers.choose_hearsay(now)
             answer = self._build(now, hearsay=known)
@@ -252,6 +254,20 @@
         beacon.doubts = tokens
         return [_effect.SendBeacon(hosts, beacon)]
 
+    def tell_lost(self, now: float, tokens: tuple[int, ...]) -> list[object]:
+        """Tell the neighbours of this zone which upstreams were lost.
+
+        :param now: the time.
+        :param tokens: the upstreams' tokens.
+        :returns: effects.
+        """
+        hosts = self._peers.list_hosts(is_near=True)
+        if not hosts:
+            return []
+        beacon = self._build(now)
+        beacon.lost = tokens
+        return [_effect.SendBeacon(hosts, beacon)]
+
     def answer(
         self, now: float, host: str, heard: dict[int, float]
     ) -> list[object]:
--- a/skylarkfold/relay/_effect.py
+++ b/skylarkfold/relay/_effect.py
@@ -109,6 +109,18 @@
         self.heard = heard
 
 
+class TakeLost:
+    """A peer of this zone has found upstreams out of reach.
+
+    :param tokens: the upstreams' tokens.
+    """
+
+    __slots__ = ('tokens',)
+
+    def __init__(self, tokens: tuple[int, ...]) -> None:
+        self.tokens = tokens
+
+
 class Note:
     """Write a log line and count.
 
--- a/skylarkfold/relay/_messages.py
+++ b/skylarkfold/relay/_messages.py
@@ -128,6 +128,7 @@
         whether it has heard them.
     :param heard: how many seconds ago it heard the upstreams that the
         receiver doubts, by token.
+    :param lost: tokens of upstreams that it has just found out of reach.
     """
 
     __slots__ = (
@@ -137,6 +138,7 @@
         'hearsay',
         'is_leaving',
         'loads',
+        'lost',
         'name',
         'news',
         'positions',
@@ -157,6 +159,7 @@
         hearsay: tuple[Hearsay, ...] = (),
         doubts: tuple[int, ...] = (),
         heard: dict[int, float] | None = None,
+        lost: tuple[int, ...] = (),
     ) -> None:
         self.name = name
         self.zone = zone
@@ -169,6 +172,7 @@
         self.hearsay = hearsay
         self.doubts = doubts
         self.heard = heard or {}
+        self.lost = lost
 
 
 class Page:
@@ -240,6 +244,7 @@
         ],
         beacon.doubts,
         {token: int(age * 1000) for token, age in beacon.heard.items()},
+        beacon.lost,
     ]
     return msgpack.packb(fields)
 
@@ -334,7 +339,7 @@
 
 def _convert_beacon(fields: list[object]) -> Beacon:
     _, name, zone, capacity, flags, positions, *rest = fields
-    news, loads, hearsay, doubts, heard = rest
+    news, loads, hearsay, doubts, heard, lost = rest
     return Beacon(
         _check_text(name),
         _check_text(zone),
@@ -366,6 +371,7 @@
             _check_count(token): _check_count(age) / 1000
             for token, age in heard.items()
         },
+        tuple(_check_count(token) for token in _check_list(lost)),
     )
 
 
--- a/skylarkfold/tests/affinity/test_health.py
+++ b/skylarkfold/tests/affinity/test_health.py
@@ -166,6 +166,29 @@
             new = self.core.take_packet(1.4, samples.build_first(9))
             self.assertEqual([self.other.name], samples.list_forwards(new))
 
+    def test_a_verdict_is_told_to_the_peers(self):
+        self.doubt(1.0)
+        effects = self.fail_probes(1.3)
+        (told,) = [
+            each for each in effects if isinstance(each, affinity.TellPeers)
+        ]
+        self.assertEqual(self.upstream.name, told.upstream.name)
+
+    def test_a_peer_s_verdict_is_looked_into_at_once(self):
+        self.open(0.0, 1)
+        self.hear(0.5, self.other)
+        effects = self.core.take_lost(1.0, [self.upstream.token, 99])
+        self.assertEqual([self.upstream.name], samples.list_probes(effects))
+        self.assertEqual([], samples.list_resets(effects))
+        effects = self.fail_probes(1.2)
+        self.assertEqual([samples.build_flow(1)], samples.list_resets(effects))
+
+    def test_a_peer_s_verdict_on_one_that_is_heard_here_is_its_own(self):
+        self.open(0.0, 1)
+        self.hear(1.0, self.upstream)
+        effects = self.core.take_lost(1.05, [self.upstream.token])
+        self.assertEqual([], effects)
+
     def test_failed_probes_prove_nothing_if_another_one_fails_too(self):
         self.doubt(1.0)
         effects = self.fail_probes(1.3, is_proven=False)
