A refusal waits for its control; one that is back is avoided for a while

Change: the verdict waits for the control; an upstream that takes connections but answers no caller is avoided for 0.5 s, one that was out of reach until 4.5 s after it fell silent, when its entry would have lapsed; a caller that is answered ends that. Lapsed upstreams are no control.

--- a/skylarkfold/affinity/_health.py
+++ b/skylarkfold/affinity/_health.py
@@ -56,6 +56,9 @@
             collections.deque()
         )
         self._suspects: dict[str, _standing.Standing] = {}
+        # Probes of upstreams that serve as a control, by name, with those
+        # that they were sent for.
+        self._controls: dict[str, list[_standing.Standing]] = {}
 
     def note_heard(self, now: float, standing: _standing.Standing) -> None:
         """Note that a packet proved an upstream to answer.
@@ -64,6 +67,7 @@
         :param standing: the upstream.
         """
         standing.heard_at = now
+        standing.avoided_until = _NEVER
 
     def take_packet(
         self, now: float, flow: _flow.Flow, packet: _packet.Packet
@@ -159,21 +163,41 @@
         """
         standing = self._directory.get(name)
         if standing is None:
-            return []
+            return self._take_control(now, name)
         if outcome == Outcome.ALIVE:
             standing.alive_at = now
+        effects = self._take_control(now, name)
         if not standing.is_probing:
-            return []
+            return effects
         standing.is_probing = False
         if outcome == Outcome.ALIVE or self._is_answering(standing):
-            return self._take_alive(now, standing)
+            return effects + self._take_alive(now, standing)
         standing.failures += 1
         standing.failed_at = now
         if standing.failures < self._settings.probe_tries:
-            return self._probe_with_control(now, standing)
+            return effects + self._probe_with_control(now, standing)
         standing.probe_due = now + self._settings.probe_pause_seconds
-        standing.is_proven = any(
-            each.alive_at >= standing.compared_at for each in self._directory
+        if standing.control in self._controls:
+            # Refused at once, while the control is still under way.
+            standing.outcome = outcome
+            return effects
+        return effects + self._decide(now, standing, outcome)
+
+    def _take_control(self, now: float, name: str) -> list[object]:
+        """Decide on those that waited for a control."""
+        effects: list[object] = []
+        for suspect in self._controls.pop(name, ()):
+            outcome, suspect.outcome = suspect.outcome, ''
+            if outcome and not self._is_answering(suspect):
+                effects += self._decide(now, suspect, outcome)
+        return effects
+
+    def _decide(
+        self, now: float, standing: _standing.Standing, outcome: str
+    ) -> list[object]:
+        control = self._directory.get(standing.control)
+        standing.is_proven = (
+            control is not None and control.alive_at >= standing.compared_at
         )
         if standing.health == Health.OUT_OF_REACH:
             return []
@@ -315,17 +339,20 @@
     ) -> list[object]:
         """Probe an upstream, and one that was heard just now with it."""
         standing.compared_at = now
+        standing.control = ''
         effects = self._probe(now, standing)
         control = max(
             (
                 each
                 for each in self._directory
-                if each.health == Health.GOOD and each is not standing
+                if each.health == Health.GOOD and each.lapsed_at is None
             ),
             key=lambda each: each.heard_at,
             default=None,
         )
         if control is not None:
+            standing.control = control.upstream.name
+            self._controls.setdefault(standing.control, []).append(standing)
             timeout = self._settings.probe_timeout_seconds
             effects.append(_effect.Probe(control.upstream, timeout))
         return effects
@@ -334,14 +361,24 @@
         self, now: float, standing: _standing.Standing
     ) -> list[object]:
         was_lost = standing.health == Health.OUT_OF_REACH
+        silent_since = standing.silent_since
         self._dismiss(now, standing)
-        if was_lost:
-            return [self._record(now, standing, Outcome.ALIVE)]
-        return []
+        if standing.last_heard > silent_since:
+            return []
+        # It takes connections and answers no caller: full, slow, or, after
+        # a crash, another process that was given its address.
+        settings = self._settings
+        standing.avoided_until = now + settings.full_seconds
+        if not was_lost:
+            return []
+        trusted_at = silent_since + settings.return_seconds
+        standing.avoided_until = max(standing.avoided_until, trusted_at)
+        return [self._record(now, standing, Outcome.ALIVE)]
 
     def _dismiss(self, now: float, standing: _standing.Standing) -> None:
         standing.failures = 0
         standing.is_proven = False
+        standing.outcome = ''
         standing.health = Health.GOOD
         standing.probe_due = now + self._settings.probe_pause_seconds
         self._suspects.pop(standing.upstream.name, None)
--- a/skylarkfold/affinity/_placement.py
+++ b/skylarkfold/affinity/_placement.py
@@ -29,7 +29,7 @@
 ) -> _standing.Standing | None:
     """Choose an upstream for a flow's first packet.
 
-    Good ones first, then ones in doubt or full, then ones whose entry has
+    Good ones first, then ones in doubt or avoided, then ones whose entry has
     lapsed just now, then ones that were out of reach a while ago. Within
     these, the least loaded of this zone unless its load is well above the
     mean, then the least loaded of all.
@@ -66,8 +66,8 @@
         return _rank_lapsed(now, standing, settings)
     if standing.health == _standing.Health.OUT_OF_REACH:
         return None if standing.may_reset(now, settings) else 3
-    is_full = now < standing.full_until
-    if is_full or standing.health == _standing.Health.DOUBTED:
+    is_avoided = now < standing.avoided_until
+    if is_avoided or standing.health == _standing.Health.DOUBTED:
         return 1
     return 0
 
--- a/skylarkfold/affinity/_settings.py
+++ b/skylarkfold/affinity/_settings.py
@@ -34,8 +34,11 @@
         One is a crash as a rule, and its mates would be probed in vain.
     :param verdict_seconds: how long a failed probe allows resets. Longer
         than the pause, the probe and its time-out together.
-    :param full_seconds: an upstream that answers probes but not first
-        packets is full; it gets no new flow for so long.
+    :param full_seconds: an upstream that takes connections but does not
+        answer its callers is avoided for so long.
+    :param return_seconds: one that was out of reach is avoided until so
+        long after it fell silent: its entry lapses after 3.6 s if its
+        process has ended and another one has its address.
     :param lapsed_seconds: how long an upstream whose entry is gone may
         still get new flows where its service has no other: entries that
         lapsed in an outage are back within 2 s.
@@ -70,6 +73,7 @@
         'probe_timeout_seconds',
         'probe_tries',
         'repeat_seconds',
+        'return_seconds',
         'verdict_seconds',
         'zone_failures',
     )
@@ -89,6 +93,7 @@
         zone_failures: int = 2,
         verdict_seconds: float = 1.0,
         full_seconds: float = 0.5,
+        return_seconds: float = 4.5,
         lapsed_seconds: float = 2.5,
         flow_seconds: float = 60.0,
         active_seconds: float = 3.0,
@@ -108,6 +113,7 @@
         self.probe_pause_seconds = probe_pause_seconds
         self.zone_failures = zone_failures
         self.verdict_seconds = verdict_seconds
+        self.return_seconds = return_seconds
         self.full_seconds = full_seconds
         self.lapsed_seconds = lapsed_seconds
         self.flow_seconds = flow_seconds
--- a/skylarkfold/affinity/_standing.py
+++ b/skylarkfold/affinity/_standing.py
@@ -36,21 +36,25 @@
     :ivar failures: probes in a row that failed.
     :ivar probed_at: when the first of them began.
     :ivar compared_at: when another upstream was probed beside it.
+    :ivar control: that upstream's name.
+    :ivar outcome: how its own last probe ended, while that of the other
+        one goes on.
     :ivar alive_at: when a probe was last answered.
     :ivar is_proven: whether that other one answered while it did not.
     :ivar failed_at: when the last probe failed.
     :ivar probe_due: when it may be probed again.
     :ivar is_probing: whether a probe is under way.
-    :ivar full_until: until when it is taken for full.
+    :ivar avoided_until: until when others go before it.
     """
 
     __slots__ = (
         'alive_at',
+        'avoided_until',
         'compared_at',
+        'control',
         'failed_at',
         'failures',
         'flows',
-        'full_until',
         'has_token',
         'health',
         'heard_at',
@@ -59,6 +63,7 @@
         'is_proven',
         'is_replaced',
         'lapsed_at',
+        'outcome',
         'probe_due',
         'probed_at',
         'remote_flows',
@@ -77,6 +82,8 @@
         self.probed_at = _NEVER
         self.alive_at = _NEVER
         self.compared_at = _NEVER
+        self.control = ''
+        self.outcome = ''
         self.is_proven = False
         self.lapsed_at: float | None = None
         self.is_replaced = False
@@ -86,7 +93,7 @@
         self.failed_at = _NEVER
         self.probe_due = _NEVER
         self.is_probing = False
-        self.full_until = _NEVER
+        self.avoided_until = _NEVER
         self.slow_until = now + upstream.slow_seconds
 
     def compute_capacity(self, now: float) -> float:
--- a/skylarkfold/tests/affinity/test_health.py
+++ b/skylarkfold/tests/affinity/test_health.py
@@ -49,9 +49,9 @@
         effects = []
         for _ in range(count):
             effects += self.core.take_probe(now, self.upstream.name, outcome)
-            if self.other.name in samples.list_probes(effects):
-                control = ALIVE if is_proven else SILENT
-                self.core.take_probe(now, self.other.name, control)
+        if self.other.name in samples.list_probes(effects):
+            control = ALIVE if is_proven else SILENT
+            effects += self.core.take_probe(now, self.other.name, control)
         return effects
 
     def test_a_request_without_answer_leads_to_a_question(self):
@@ -237,6 +237,46 @@
         effects = self.ask(3.0, 4)
         self.assertEqual([self.upstream.name], samples.list_forwards(effects))
 
+    def test_one_that_is_back_is_avoided_until_its_entry_would_lapse(self):
+        # Another process may have its address.
+        self.doubt(1.0)
+        self.fail_probes(1.3)
+        self.core.tick(2.9)
+        self.core.take_probe(3.0, self.upstream.name, ALIVE)
+        new = self.core.take_packet(3.1, samples.build_first(50))
+        self.assertEqual([self.other.name], samples.list_forwards(new))
+        chosen = {
+            samples.list_forwards(
+                self.core.take_packet(7.0, samples.build_first(port))
+            )[0]
+            for port in range(60, 100)
+        }
+        self.assertIn(self.upstream.name, chosen)
+
+    def test_one_that_answers_a_caller_again_is_trusted_at_once(self):
+        self.doubt(1.0)
+        self.fail_probes(1.3)
+        self.core.tick(2.9)
+        self.core.take_probe(3.0, self.upstream.name, ALIVE)
+        self.hear(3.1, self.upstream, 8)
+        chosen = {
+            samples.list_forwards(
+                self.core.take_packet(3.2, samples.build_first(port))
+            )[0]
+            for port in range(60, 100)
+        }
+        self.assertIn(self.upstream.name, chosen)
+
+    def test_a_refusal_waits_for_the_control(self):
+        # Within the zone it is back sooner than an answer from another.
+        self.doubt(1.0)
+        self.core.take_probe(1.15, self.upstream.name, REFUSED)
+        self.assertEqual(
+            [], self.core.take_probe(1.151, self.upstream.name, REFUSED)
+        )
+        effects = self.core.take_probe(1.153, self.other.name, ALIVE)
+        self.assertEqual([samples.build_flow(1)], samples.list_resets(effects))
+
     def test_a_lapsed_entry_has_its_upstream_doubted(self):
         self.open(0.0, 1)
         effects = self.core.set_upstreams(1.0, [self.other])
@@ -254,7 +294,7 @@
         effects = []
         for _ in range(2):
             effects += self.core.take_probe(now + 0.3, upstream.name, SILENT)
-            self.core.take_probe(now + 0.3, self.other.name, ALIVE)
+        effects += self.core.take_probe(now + 0.3, self.other.name, ALIVE)
         return [
             each.upstream.name
             for each in effects
