--- a/skylarkfold/tests/affinity/test_health.py
+++ b/skylarkfold/tests/affinity/test_health.py
@@ -249,7 +249,7 @@
             samples.list_forwards(
                 self.core.take_packet(7.0, samples.build_first(port))
             )[0]
-            for port in range(60, 100)
+            for port in range(100, 140)
         }
         self.assertIn(self.upstream.name, chosen)
 
@@ -263,7 +263,7 @@
             samples.list_forwards(
                 self.core.take_packet(3.2, samples.build_first(port))
             )[0]
-            for port in range(60, 100)
+            for port in range(100, 140)
         }
         self.assertIn(self.upstream.name, chosen)
 
