A line for each doubt, and stories that last as long as a flow may

Change: a line for each request or first packet that went without an answer for too long; a story covers 60 s after its flow's first line.

--- a/skylarkfold/affinity/_effect.py
+++ b/skylarkfold/affinity/_effect.py
@@ -21,6 +21,8 @@
     OTHER_SERVICE = 'other-service'
     OUT_OF_REACH = 'out-of-reach'
     REPLACED = 'replaced'
+    NOT_ANSWERED = 'not-answered'
+    NOT_OPENED = 'not-opened'
 
 
 class ProbeOutcome:
@@ -109,7 +111,7 @@
 class Record:
     """Write a log line for a decision.
 
-    :param kind: what was decided: ``open``, ``reset``, ``health`` ...
+    :param kind: what was decided: ``open``, ``doubt``, ``reset`` ...
     :param reason: one of :class:`Reason`, or a state.
     :param flow: the flow, empty where there is none.
     :param upstream: the upstream's name, empty where there is none.
--- a/skylarkfold/affinity/_health.py
+++ b/skylarkfold/affinity/_health.py
@@ -102,7 +102,9 @@
         standing = flow.standing
         if standing.last_heard >= flow.placed_at:
             return []
-        return self._doubt(now, standing, flow.placed_at)
+        reason = _effect.Reason.NOT_OPENED
+        doubt = _record_doubt(now, flow, flow.placed_at, reason)
+        return [doubt, *self._doubt(now, standing, flow.placed_at)]
 
     def take_lapse(
         self, now: float, standing: _standing.Standing
@@ -257,7 +259,9 @@
             self._waits.append((silent_since + patience, flow))
             return []
         self._waits.append((now + patience, flow))
-        return self._doubt(now, standing, silent_since)
+        reason = _effect.Reason.NOT_ANSWERED
+        doubt = _record_doubt(now, flow, flow.waiting_since, reason)
+        return [doubt, *self._doubt(now, standing, silent_since)]
 
     def _has_moved(self, now: float, flow: _flow.Flow) -> bool:
         """Tell whether its caller goes through another instance now.
@@ -398,3 +402,16 @@
         return _effect.Record(
             'health', standing.health, upstream=name, details=details
         )
+
+
+def _record_doubt(
+    now: float, flow: _flow.Flow, since: float, reason: str
+) -> _effect.Record:
+    standing = flow.standing
+    details = {
+        'waited_ms': _ending.to_ms(now - since),
+        'heard_ms_ago': _ending.to_ms(now - standing.last_heard),
+        'health': standing.health,
+    }
+    name = standing.upstream.name
+    return _effect.Record('doubt', reason, flow.key, name, details)
--- a/skylarkfold/explain/_story.py
+++ b/skylarkfold/explain/_story.py
@@ -8,8 +8,11 @@
 from skylarkfold.explain import _line
 
 # Lines about the process and its surroundings belong to the story from so
-# long before the flow's first line to so long after its last.
-_AROUND_SECONDS = 5.0
+# long before the flow's first line.
+_BEFORE_SECONDS = 5.0
+# Those about its upstream and the process until so long after: the longest
+# life of a flow, whose later packets have no lines of their own.
+_AFTER_SECONDS = 60.0
 _PROCESS = (
     'started',
     'ready',
@@ -94,14 +97,13 @@
     if not own:
         return Story(flow, [], clocks, reference)
     begin = min(times[id(line)] for line in own)
-    end = max(times[id(line)] for line in own)
     instances = {line.instance for line in own}
     upstreams = {line.get('upstream') for line in own} - {''}
     events = []
     for line in known:
         is_own = _names(line, flow)
         at = times[id(line)]
-        is_near = begin - _AROUND_SECONDS <= at <= end + _AROUND_SECONDS
+        is_near = -_BEFORE_SECONDS <= at - begin <= _AFTER_SECONDS
         if is_own or (
             is_near
             and line.instance in instances
--- a/skylarkfold/tests/affinity/test_health.py
+++ b/skylarkfold/tests/affinity/test_health.py
@@ -58,7 +58,9 @@
         self.open(0.0, 1)
         self.ask(1.0, 1)
         self.assertEqual([], self.core.tick(1.05))
-        (asked,) = self.core.tick(1.11)
+        doubt, asked = self.core.tick(1.11)
+        self.assertEqual('not-answered', doubt.reason)
+        self.assertEqual(samples.build_flow(1), doubt.flow)
         self.assertIsInstance(asked, affinity.AskPeers)
         self.assertEqual(self.upstream.name, asked.upstream.name)
 
@@ -95,7 +97,7 @@
         self.hear(1.06, self.upstream)
         self.assertEqual([], self.core.tick(1.11))
         # Silent for a whole patience since then.
-        self.assertEqual(1, len(self.core.tick(1.17)))
+        self.assertEqual(2, len(self.core.tick(1.17)))
 
     def test_a_flow_that_moved_to_another_instance_is_no_doubt(self):
         # Its caller would have repeated the packet after 0.2 s.
@@ -116,7 +118,7 @@
         self.hear(1.19, self.upstream, 5)
         self.ask(1.2, 1)
         self.core.tick(1.21)
-        self.assertEqual(1, len(self.core.tick(1.32)))
+        self.assertEqual(2, len(self.core.tick(1.32)))
 
     def test_a_slow_service_is_waited_for(self):
         for number in range(20):
