--- a/skylarkfold/affinity/_flow.py
+++ b/skylarkfold/affinity/_flow.py
@@ -26,6 +26,8 @@
     :ivar seen_at: when its last packet came.
     :ivar waiting_since: when the caller sent a request that nothing has
         answered yet, None where none waits.
+    :ivar doubted_wait: the ``waiting_since`` of the last wait that was
+        logged as a doubt.
     :ivar sent: the number after the caller's last byte.
     :ivar acknowledged: the caller's highest acknowledgement.
     :ivar first: its first packet, kept until it is open.
@@ -38,6 +40,7 @@
     __slots__ = (
         'acknowledged',
         'begun_at',
+        'doubted_wait',
         'first',
         'is_closed',
         'is_counted',
@@ -65,6 +68,7 @@
         self.is_counted = False
         self.is_idempotent = False
         self.waiting_since: float | None = None
+        self.doubted_wait: float | None = None
         self.sent: int | None = None
         self.acknowledged = 0
         self.first = b''
--- a/skylarkfold/affinity/_health.py
+++ b/skylarkfold/affinity/_health.py
@@ -259,9 +259,13 @@
             self._waits.append((silent_since + patience, flow))
             return []
         self._waits.append((now + patience, flow))
-        reason = _effect.Reason.NOT_ANSWERED
-        doubt = _record_doubt(now, flow, flow.waiting_since, reason)
-        return [doubt, *self._doubt(now, standing, silent_since)]
+        effects = self._doubt(now, standing, silent_since)
+        if flow.doubted_wait != flow.waiting_since:
+            flow.doubted_wait = flow.waiting_since
+            reason = _effect.Reason.NOT_ANSWERED
+            since = flow.waiting_since
+            effects.insert(0, _record_doubt(now, flow, since, reason))
+        return effects
 
     def _has_moved(self, now: float, flow: _flow.Flow) -> bool:
         """Tell whether its caller goes through another instance now.
@@ -273,8 +277,10 @@
         settings = self._settings
         if waited > settings.longest_wait_seconds:
             return True
-        silent = now - flow.seen_at
-        return waited > settings.repeat_seconds and silent >= waited
+        # A request of several packets takes some milliseconds to come.
+        said = flow.seen_at - flow.waiting_since
+        is_repeated = said > settings.repeat_seconds / 2
+        return waited > settings.repeat_seconds and not is_repeated
 
     def _doubt(
         self, now: float, standing: _standing.Standing, silent_since: float
--- a/skylarkfold/tests/affinity/test_health.py
+++ b/skylarkfold/tests/affinity/test_health.py
@@ -110,6 +110,16 @@
         self.assertEqual([], self.core.tick(1.32))
         self.assertEqual([], self.core.tick(2.0))
 
+    def test_a_request_of_several_packets_that_moved_is_no_doubt(self):
+        self.open(0.0, 1)
+        self.ask(1.0, 1)
+        self.ask(1.004, 1, sequence=201)
+        self.hear(1.08, self.upstream, 5)
+        self.core.tick(1.11)
+        self.hear(1.2, self.upstream, 5)
+        self.assertEqual([], self.core.tick(1.32))
+        self.assertEqual([], self.core.tick(2.0))
+
     def test_a_caller_that_repeats_its_request_keeps_the_doubt(self):
         self.open(0.0, 1)
         self.ask(1.0, 1)
