--- a/skylarkfold/relay/_feed.py
+++ b/skylarkfold/relay/_feed.py
@@ -108,7 +108,7 @@
             position,
             '',
             settings.wait_seconds,
-            settings.wait_seconds + settings.call_timeout_seconds,
+            settings.wait_seconds + settings.overdue_seconds,
         )
 
     def take(
--- a/skylarkfold/relay/_settings.py
+++ b/skylarkfold/relay/_settings.py
@@ -12,8 +12,14 @@
     :param wait_seconds: how long the store may hold a watch. A watch that
         says nothing proves nothing, so this bounds how old the view of a
         watcher may be; changes must be in force after 3 s.
-    :param call_timeout_seconds: how long to wait beyond that. The store
-        answers in 4 ms; 60 times as long when it is slow.
+    :param call_timeout_seconds: how long to wait for a listing. The store
+        answers in 4 ms; 60 times as long when it is slow, and a listing
+        comes in pages of up to 1 MB.
+    :param overdue_seconds: how long to wait for a watch beyond the time
+        that the store may hold it: twice what a slow store takes. An open
+        connection may fall silent for good without an end, which only this
+        shows; together with ``wait_seconds`` and a pause it stays below
+        the 4 s after which the platform counts such a fault as over.
     :param gather_seconds: the pause before a watch that brought changes
         is renewed, so that a burst of them costs few calls.
     :param least_backoff_seconds: the first pause after a failed call.
@@ -56,6 +62,7 @@
         'hearsay_seconds',
         'least_backoff_seconds',
         'most_backoff_seconds',
+        'overdue_seconds',
         'pause_seconds',
         'push_bytes',
         'rotation_seconds',
@@ -75,6 +82,7 @@
         watchers: int = 1,
         wait_seconds: float = 3.0,
         call_timeout_seconds: float = 1.0,
+        overdue_seconds: float = 0.5,
         gather_seconds: float = 0.2,
         least_backoff_seconds: float = 0.1,
         most_backoff_seconds: float = 1.0,
@@ -97,6 +105,7 @@
         self.watchers = watchers
         self.wait_seconds = wait_seconds
         self.call_timeout_seconds = call_timeout_seconds
+        self.overdue_seconds = overdue_seconds
         self.gather_seconds = gather_seconds
         self.least_backoff_seconds = least_backoff_seconds
         self.most_backoff_seconds = most_backoff_seconds
--- a/skylarkfold/tests/relay/fleet.py
+++ b/skylarkfold/tests/relay/fleet.py
@@ -70,6 +70,8 @@
         self.watches = []
         self.cut = lambda one, other: False
         self.is_store_down = False
+        # Calls that began before this time are never answered.
+        self.silent_before = float('-inf')
         self._queue = []
         self._count = itertools.count()
         for number, zone in enumerate(zones):
@@ -167,6 +169,7 @@
 
     def _call(self, name, core, call):
         self.store.calls += 1
+        begun = self.now
         until = self.now + call.wait_seconds
         given_up = self.now + call.timeout_seconds
 
@@ -176,7 +179,8 @@
                 self.perform(name, effects)
 
         def look():
-            if self._is_cut(name, STORE):
+            is_silent = begun < self.silent_before
+            if is_silent or self._is_cut(name, STORE):
                 if self.now >= given_up:
                     answer(relay.Answer(relay.Status.UNKNOWN))
                 else:
--- a/skylarkfold/tests/relay/test_spread.py
+++ b/skylarkfold/tests/relay/test_spread.py
@@ -85,6 +85,19 @@
         self.fleet.run(1.2)
         self.assertTrue(self.is_everywhere())
 
+    def test_connections_that_fell_silent_hide_no_change_for_long(self):
+        # All watches began just now, so that none of them ends soon.
+        fleet = fleet_module.Fleet(ZONES)
+        fleet.run(1.0)
+        fleet.store.put('routes', 'main', {'version': 2})
+        fleet.run(0.3)
+        fleet.silent_before = fleet.now
+        fleet.store.put('routes', 'main', {'version': 3})
+        # The platform takes connections for stable 4 s after a fault.
+        fleet.run(3.7)
+        revisions = fleet.get_revisions('routes', 'main')
+        self.assertEqual({fleet.store.revision}, set(revisions.values()))
+
     def test_a_newcomer_learns_from_its_peers_while_the_store_is_down(self):
         self.fleet.is_store_down = True
         self.fleet.start('entry-9', 'c')
