A connection to the store that idled is opened anew

Change: HttpClient opens a new connection after 1.5 s without use; tests of client and server, which had none of their own.

--- a/skylarkfold/reactor/_http.py
+++ b/skylarkfold/reactor/_http.py
@@ -19,6 +19,10 @@
 # off; health checks send theirs at once.
 _REQUEST_SECONDS = 5.0
 
+# A connection that has idled for longer may be silent for good. Pauses
+# between the calls of one who has a duty are shorter.
+_IDLE_SECONDS = 1.5
+
 # Stands for the status where no answer came.
 _NO_ANSWER = 0
 _REASONS = {200: 'OK', 404: 'Not Found', 503: 'Service Unavailable'}
@@ -31,10 +35,13 @@
 class HttpClient:
     """One connection to a server, with one request at a time.
 
-    Opened at the first request and again after it ended.
+    Opened at the first request, again after it ended, and where it has
+    idled: an open connection may fall silent without an end.
 
     :param loop: the event loop.
     :param address: the server's host and port.
+    :param idle_seconds: a connection that was not used for so long is not
+        trusted any more.
     """
 
     __slots__ = (
@@ -42,13 +49,22 @@
         '_answered',
         '_connection',
         '_host',
+        '_idle_seconds',
         '_loop',
         '_timer',
+        '_used_at',
     )
 
-    def __init__(self, loop: _loop.Loop, address: tuple[str, int]) -> None:
+    def __init__(
+        self,
+        loop: _loop.Loop,
+        address: tuple[str, int],
+        idle_seconds: float = _IDLE_SECONDS,
+    ) -> None:
         self._loop = loop
         self._address = address
+        self._idle_seconds = idle_seconds
+        self._used_at = loop.now()
         self._host = f'{address[0]}:{address[1]}'
         self._connection: _Connection | None = None
         self._answered: Answered | None = None
@@ -80,6 +96,8 @@
         """
         if self.is_busy:
             raise RuntimeError('the last request is not answered')
+        if self._loop.now() - self._used_at >= self._idle_seconds:
+            self.close()
         self._answered = answered
         self._timer = self._loop.call_later(timeout_seconds, self._time_out)
         if self._connection is None:
@@ -110,6 +128,7 @@
 
     def _end_request(self, status: int, body: bytes) -> None:
         answered, self._answered = self._answered, None
+        self._used_at = self._loop.now()
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- /dev/null
+++ b/skylarkfold/tests/reactor/test_http.py
@@ -0,0 +1,98 @@
+"""Tests of the HTTP client and server on streams."""
+
+import testtools
+
+from skylarkfold import reactor
+
+# Longer than any test runs.
+LONG_SECONDS = 600.0
+GIVE_UP_SECONDS = 20.0
+
+
+class HttpTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.loop = reactor.Loop()
+        self.addCleanup(self.loop.close)
+        self.streams = []
+        self.answers = []
+        self.answer = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+        self.listener = reactor.Listener(
+            self.loop, ('127.0.0.1', 0), self.accept
+        )
+        self.addCleanup(self.listener.close)
+
+    def accept(self, stream):
+        self.streams.append(stream)
+        stream.on_data = lambda _: stream.write(self.answer)
+
+    def build_client(self, idle_seconds):
+        client = reactor.HttpClient(
+            self.loop, self.listener.address, idle_seconds
+        )
+        self.addCleanup(client.close)
+        return client
+
+    def ask(self, client, timeout_seconds=GIVE_UP_SECONDS):
+        def answered(status, body):
+            self.answers.append((status, body))
+            self.loop.stop()
+
+        client.request('GET', '/', b'', timeout_seconds, answered)
+        self.loop.run()
+        return self.answers[-1]
+
+    def test_a_connection_in_use_is_kept(self):
+        client = self.build_client(LONG_SECONDS)
+        self.assertEqual((200, b'ok'), self.ask(client))
+        self.assertEqual((200, b'ok'), self.ask(client))
+        self.assertEqual(1, len(self.streams))
+
+    def test_a_connection_that_idled_is_not_trusted(self):
+        # It may have fallen silent meanwhile, which nothing shows.
+        client = self.build_client(0.0)
+        self.ask(client)
+        self.streams[0].on_data = lambda _: None
+        self.assertEqual((200, b'ok'), self.ask(client))
+        self.assertEqual(2, len(self.streams))
+
+    def test_one_that_does_not_answer_is_given_up(self):
+        client = self.build_client(LONG_SECONDS)
+        answer, self.answer = self.answer, b''
+        self.assertEqual((0, b''), self.ask(client, 0.05))
+        self.answer = answer
+        self.assertEqual((200, b'ok'), self.ask(client))
+        self.assertEqual(2, len(self.streams))
+
+    def test_what_is_no_http_is_no_answer(self):
+        client = self.build_client(LONG_SECONDS)
+        self.answer = b'nonsense\r\n\r\n'
+        self.assertEqual((0, b''), self.ask(client))
+
+    def test_an_answer_that_ends_early_is_no_answer(self):
+        client = self.build_client(LONG_SECONDS)
+        self.answer = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok'
+
+        def accept_and_end(stream):
+            def end(_data):
+                stream.write(self.answer)
+                stream.finish()
+
+            stream.on_data = end
+
+        listener = reactor.Listener(
+            self.loop, ('127.0.0.1', 0), accept_and_end
+        )
+        self.addCleanup(listener.close)
+        client = reactor.HttpClient(self.loop, listener.address, LONG_SECONDS)
+        self.addCleanup(client.close)
+        self.assertEqual((0, b''), self.ask(client))
+
+    def test_a_server_answers_by_path(self):
+        server = reactor.HttpServer(
+            self.loop, ('127.0.0.1', 0), lambda path: (200, path.encode())
+        )
+        self.addCleanup(server.close)
+        client = reactor.HttpClient(self.loop, server.address, LONG_SECONDS)
+        self.addCleanup(client.close)
+        self.assertEqual((200, b'/'), self.ask(client))
