Relay: what an instance tells its peers has a module of its own

Cause: relay/_core.py had grown to 531 lines, with beacons' building and the loads of zones beside the decisions; asking and telling the zone stood twice. Change: Announcer; tell_zone serves both. Behaviour is the same.

--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -192,11 +192,15 @@
     def _ask_peers(self, wanted: affinity.AskPeers) -> None:
         self.count(_metrics.PEERS_ASKED)
         tokens = (wanted.upstream.token,)
-        self._perform(self._relay.ask(self._loop.now(), tokens))
+        now = self._loop.now()
+        announcer = self._relay.announcer
+        self._perform(announcer.tell_zone(now, doubts=tokens))
 
     def _tell_peers(self, wanted: affinity.TellPeers) -> None:
         tokens = (wanted.upstream.token,)
-        self._perform(self._relay.tell_lost(self._loop.now(), tokens))
+        now = self._loop.now()
+        announcer = self._relay.announcer
+        self._perform(announcer.tell_zone(now, lost=tokens))
 
     def _take_lost(self, wanted: relay.TakeLost) -> None:
         now = self._loop.now()
@@ -205,7 +209,8 @@
     def _tell_heard(self, wanted: relay.TellHeard) -> None:
         now = self._loop.now()
         heard = self._affinity.list_heard(now, wanted.tokens)
-        self._perform(self._relay.answer(now, wanted.host, heard))
+        announcer = self._relay.announcer
+        self._perform(announcer.answer(now, wanted.host, heard))
 
     def _take_heard(self, wanted: relay.TakeHeard) -> None:
         self._affinity.take_heard(self._loop.now(), wanted.heard)
--- /dev/null
+++ b/skylarkfold/relay/_announcer.py
@@ -0,0 +1,230 @@
+"""What an instance tells its peers."""
+
+from __future__ import annotations
+
+from skylarkfold.relay import _effect
+from skylarkfold.relay import _item
+from skylarkfold.relay import _messages
+from skylarkfold.relay import _peers
+from skylarkfold.relay import _settings
+from skylarkfold.relay import _topic
+
+_NEVER = float('-inf')
+
+
+class Announcer:
+    """Builds this instance's beacons and keeps the loads that they carry.
+
+    :param own: this instance.
+    :param peers: the others.
+    :param topics: what is known here.
+    :param settings: the relay's settings.
+    """
+
+    __slots__ = (
+        '_next_slow_far',
+        '_next_slow_near',
+        '_own',
+        '_peers',
+        '_settings',
+        '_topics',
+        '_zone_loads',
+    )
+
+    def __init__(
+        self,
+        own: _peers.Peer,
+        peers: _peers.PeerTable,
+        topics: list[_topic.Topic],
+        settings: _settings.RelaySettings,
+    ) -> None:
+        self._own = own
+        self._peers = peers
+        self._topics = topics
+        self._settings = settings
+        # Loads of other zones with the time of each.
+        self._zone_loads: dict[str, tuple[float, dict[int, int]]] = {}
+        self._next_slow_near = _NEVER
+        self._next_slow_far = _NEVER
+
+    def tell_zone(
+        self,
+        now: float,
+        doubts: tuple[int, ...] = (),
+        lost: tuple[int, ...] = (),
+    ) -> list[object]:
+        """Tell the neighbours of this zone of upstreams.
+
+        :param now: the time.
+        :param doubts: tokens of those in doubt; whoever hears them says so.
+        :param lost: tokens of those found out of reach.
+        :returns: effects.
+        """
+        hosts = self._peers.list_hosts(is_near=True)
+        if not hosts:
+            return []
+        beacon = self.build(now)
+        beacon.doubts = doubts
+        beacon.lost = lost
+        return [_effect.SendBeacon(hosts, beacon)]
+
+    def answer(
+        self, now: float, host: str, heard: dict[int, float]
+    ) -> list[object]:
+        """Answer a peer that asked which upstreams are heard here.
+
+        :param now: the time.
+        :param host: the peer.
+        :param heard: how many seconds ago, by token.
+        :returns: effects.
+        """
+        if not heard:
+            return []
+        beacon = self.build(now)
+        beacon.heard = heard
+        return [_effect.SendBeacon([host], beacon)]
+
+    def push(
+        self,
+        now: float,
+        topic: _topic.Topic,
+        base: int,
+        changed: list[_item.Item],
+        source: str,
+    ) -> list[object]:
+        """Tell the neighbours of changes.
+
+        :param now: the time.
+        :param topic: the topic.
+        :param base: up to which revision it was known here before.
+        :param changed: the objects that are new.
+        :param source: the host that they came from.
+        :returns: effects.
+        """
+        hosts = [
+            peer.host
+            for peer in self._list_behind(topic)
+            if peer.host != source
+        ]
+        if not hosts:
+            return []
+        news = None
+        if _messages.measure(changed) <= self._settings.push_bytes:
+            news = _messages.News(topic.number, base, tuple(changed))
+        return [_effect.SendBeacon(hosts, self.build(now, news))]
+
+    def _list_behind(self, topic: _topic.Topic) -> list[_peers.Peer]:
+        behind = []
+        for name in self._peers.list_neighbours():
+            peer = self._peers.members[name]
+            if not peer.positions or not peer.is_reachable:
+                continue
+            if peer.positions[topic.number].revision < topic.changed:
+                behind.append(peer)
+        return behind
+
+    def send_near(self, now: float) -> list[object]:
+        """Tell the neighbours of this zone how far this instance is.
+
+        :param now: the time.
+        :returns: effects.
+        """
+        hosts = self._peers.list_hosts(is_near=True)
+        if not hosts:
+            return []
+        own = self._own
+        loads = [_messages.LoadReport(own.name, False, 0.0, own.flows)]
+        hearsay: tuple[_messages.Hearsay, ...] = ()
+        if now >= self._next_slow_near:
+            self._next_slow_near = now + self._settings.slow_seconds
+            hearsay = self._peers.choose_hearsay(now)
+            loads += [
+                _messages.LoadReport(zone, True, max(0.0, now - at), flows)
+                for zone, (at, flows) in self._zone_loads.items()
+                if now - at <= 2 * self._settings.slow_seconds
+            ]
+        beacon = self.build(now, loads=tuple(loads), hearsay=hearsay)
+        return [_effect.SendBeacon(hosts, beacon)]
+
+    def send_far(self, now: float) -> list[object]:
+        """Tell the neighbours in other zones, whose bytes are dear.
+
+        :param now: the time.
+        :returns: effects.
+        """
+        hosts = self._peers.list_hosts(is_near=False)
+        if not hosts:
+            return []
+        loads: tuple[_messages.LoadReport, ...] = ()
+        hearsay: tuple[_messages.Hearsay, ...] = ()
+        if now >= self._next_slow_far:
+            self._next_slow_far = now + self._settings.slow_seconds
+            hearsay = self._peers.choose_hearsay(now)
+            flows = self._peers.sum_flows()
+            report = _messages.LoadReport(self._own.zone, True, 0.0, flows)
+            loads = (report,)
+        beacon = self.build(now, loads=loads, hearsay=hearsay)
+        return [_effect.SendBeacon(hosts, beacon)]
+
+    def approach(self, now: float) -> list[object]:
+        """Ask at seeds that nobody known has.
+
+        :param now: the time.
+        :returns: effects.
+        """
+        hosts = self._peers.list_lost_seeds()
+        if self._own.host in hosts:
+            hosts.remove(self._own.host)
+        if not hosts:
+            return []
+        return [_effect.SendBeacon(hosts, self.build(now, is_asking=True))]
+
+    def take_loads(self, now: float, beacon: _messages.Beacon) -> list[object]:
+        """Take the loads that a peer tells.
+
+        :param now: the time.
+        :param beacon: its beacon.
+        :returns: effects.
+        """
+        effects: list[object] = []
+        for report in beacon.loads:
+            if not report.is_zone:
+                self._peers.members[beacon.name].flows = report.flows
+                effects.append(_effect.TakeLoad(beacon.name, report.flows))
+                continue
+            at = now - report.age_seconds
+            known, _ = self._zone_loads.get(report.source, (_NEVER, {}))
+            if report.source != self._own.zone and at > known:
+                self._zone_loads[report.source] = (at, report.flows)
+                source = f'zone:{report.source}'
+                effects.append(_effect.TakeLoad(source, report.flows))
+        return effects
+
+    def build(
+        self,
+        now: float,
+        news: _messages.News | None = None,
+        loads: tuple[_messages.LoadReport, ...] = (),
+        hearsay: tuple[_messages.Hearsay, ...] = (),
+        is_asking: bool = False,
+    ) -> _messages.Beacon:
+        """Build a beacon.
+
+        :param now: the time.
+        :param news: changes that travel with it.
+        :param loads: flows by upstream, here or of zones.
+        :param hearsay: names of others.
+        :param is_asking: whether an answer is wanted.
+        :returns: the beacon.
+        """
+        return _messages.Beacon(
+            self._own.name,
+            self._own.zone,
+            self._own.capacity,
+            self._own.is_leaving,
+            is_asking,
+            tuple(topic.describe(now) for topic in self._topics),
+            news,
+            loads,
+            hearsay,
+        )
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from skylarkfold import backoff
+from skylarkfold.relay import _announcer
 from skylarkfold.relay import _call
 from skylarkfold.relay import _effect
 from skylarkfold.relay import _feed
@@ -51,14 +52,13 @@
             for number, topic in enumerate(settings.topics)
         ]
         self._by_name = {topic.name: topic for topic in self._topics}
-        # Loads of other zones with the time of each.
-        self._zone_loads: dict[str, tuple[float, dict[int, int]]] = {}
+        self._announcer = _announcer.Announcer(
+            self._own, self._peers, self._topics, settings
+        )
         self._started_at: float | None = None
         self._ticked_at = _NEVER
         self._next_near = _NEVER
         self._next_far = _NEVER
-        self._next_slow_near = _NEVER
-        self._next_slow_far = _NEVER
         self._next_seeds = _NEVER
 
     @property
@@ -66,6 +66,11 @@
         """The other instances."""
         return self._peers
 
+    @property
+    def announcer(self) -> _announcer.Announcer:
+        """What tells the peers of upstreams in doubt."""
+        return self._announcer
+
     @property
     def is_ready(self) -> bool:
         """Whether all topics are known."""
@@ -119,13 +124,13 @@
         if now >= self._next_near:
             self._next_near = now + self._settings.beacon_seconds
             self._peers.refresh(now)
-            effects += self._send_near(now)
+            effects += self._announcer.send_near(now)
         if now >= self._next_far:
             self._next_far = now + self._settings.far_seconds
-            effects += self._send_far(now)
+            effects += self._announcer.send_far(now)
         if now >= self._next_seeds:
             self._next_seeds = now + self._settings.seed_seconds
-            effects += self._approach(now)
+            effects += self._announcer.approach(now)
         return effects + self._ask(now)
 
     def take_answer(
@@ -177,7 +182,7 @@
             self._topics, beacon.positions, strict=True
         ):
             effects += self._compare(now, topic, host, position)
-        effects += self._take_loads(now, beacon)
+        effects += self._announcer.take_loads(now, beacon)
         if beacon.doubts:
             effects.append(_effect.TellHeard(host, beacon.doubts))
         if beacon.heard:
@@ -186,7 +191,7 @@
             effects.append(_effect.TakeLost(beacon.lost))
         if beacon.wants_answer or is_new:
             known = self._peers.choose_hearsay(now)
-            answer = self._build(now, hearsay=known)
+            answer = self._announcer.build(now, hearsay=known)
             effects.append(_effect.SendBeacon([host], answer))
         return effects + self._ask(now)
 
@@ -240,50 +245,6 @@
             topic.confirm(now - page.age_seconds)
         return self._spread(now, topic, base, changed, fetch.host)
 
-    def ask(self, now: float, tokens: tuple[int, ...]) -> list[object]:
-        """Ask the neighbours of this zone which upstreams they hear.
-
-        :param now: the time.
-        :param tokens: the upstreams' tokens.
-        :returns: effects.
-        """
-        hosts = self._peers.list_hosts(is_near=True)
-        if not hosts:
-            return []
-        beacon = self._build(now)
-        beacon.doubts = tokens
-        return [_effect.SendBeacon(hosts, beacon)]
-
-    def tell_lost(self, now: float, tokens: tuple[int, ...]) -> list[object]:
-        """Tell the neighbours of this zone which upstreams were lost.
-
-        :param now: the time.
-        :param tokens: the upstreams' tokens.
-        :returns: effects.
-        """
-        hosts = self._peers.list_hosts(is_near=True)
-        if not hosts:
-            return []
-        beacon = self._build(now)
-        beacon.lost = tokens
-        return [_effect.SendBeacon(hosts, beacon)]
-
-    def answer(
-        self, now: float, host: str, heard: dict[int, float]
-    ) -> list[object]:
-        """Answer a peer that asked which upstreams are heard here.
-
-        :param now: the time.
-        :param host: the peer.
-        :param heard: how many seconds ago, by token.
-        :returns: effects.
-        """
-        if not heard:
-            return []
-        beacon = self._build(now)
-        beacon.heard = heard
-        return [_effect.SendBeacon([host], beacon)]
-
     def may_leave(self, now: float) -> bool:
         """Tell whether this instance may leave rotation.
 
@@ -300,7 +261,10 @@
         """
         self._own.is_leaving = True
         self._peers.note_own_change()
-        return [*self._send_near(now), *self._send_far(now)]
+        return [
+            *self._announcer.send_near(now),
+            *self._announcer.send_far(now),
+        ]
 
     def _ask(self, now: float) -> list[object]:
         """Call the store where that is this instance's duty."""
@@ -404,97 +368,9 @@
                 _effect.Changed(topic.name, topic.position, source, paths)
             )
         if changed and not is_first:
-            effects += self._push(now, topic, base, changed, source)
+            effects += self._announcer.push(now, topic, base, changed, source)
         return effects
 
-    def _push(
-        self,
-        now: float,
-        topic: _topic.Topic,
-        base: int,
-        changed: list[_item.Item],
-        source: str,
-    ) -> list[object]:
-        hosts = [
-            peer.host
-            for peer in self._list_behind(topic)
-            if peer.host != source
-        ]
-        if not hosts:
-            return []
-        news = None
-        if _messages.measure(changed) <= self._settings.push_bytes:
-            news = _messages.News(topic.number, base, tuple(changed))
-        return [_effect.SendBeacon(hosts, self._build(now, news))]
-
-    def _list_behind(self, topic: _topic.Topic) -> list[_peers.Peer]:
-        behind = []
-        for name in self._peers.list_neighbours():
-            peer = self._peers.members[name]
-            if not peer.positions or not peer.is_reachable:
-                continue
-            if peer.positions[topic.number].revision < topic.changed:
-                behind.append(peer)
-        return behind
-
-    def _take_loads(
-        self, now: float, beacon: _messages.Beacon
-    ) -> list[object]:
-        effects: list[object] = []
-        for report in beacon.loads:
-            if not report.is_zone:
-                self._peers.members[beacon.name].flows = report.flows
-                effects.append(_effect.TakeLoad(beacon.name, report.flows))
-                continue
-            at = now - report.age_seconds
-            known, _ = self._zone_loads.get(report.source, (_NEVER, {}))
-            if report.source != self._own.zone and at > known:
-                self._zone_loads[report.source] = (at, report.flows)
-                source = f'zone:{report.source}'
-                effects.append(_effect.TakeLoad(source, report.flows))
-        return effects
-
-    def _send_near(self, now: float) -> list[object]:
-        hosts = self._peers.list_hosts(is_near=True)
-        if not hosts:
-            return []
-        own = self._own
-        loads = [_messages.LoadReport(own.name, False, 0.0, own.flows)]
-        hearsay: tuple[_messages.Hearsay, ...] = ()
-        if now >= self._next_slow_near:
-            self._next_slow_near = now + self._settings.slow_seconds
-            hearsay = self._peers.choose_hearsay(now)
-            loads += [
-                _messages.LoadReport(zone, True, max(0.0, now - at), flows)
-                for zone, (at, flows) in self._zone_loads.items()
-                if now - at <= 2 * self._settings.slow_seconds
-            ]
-        beacon = self._build(now, loads=tuple(loads), hearsay=hearsay)
-        return [_effect.SendBeacon(hosts, beacon)]
-
-    def _send_far(self, now: float) -> list[object]:
-        hosts = self._peers.list_hosts(is_near=False)
-        if not hosts:
-            return []
-        loads: tuple[_messages.LoadReport, ...] = ()
-        hearsay: tuple[_messages.Hearsay, ...] = ()
-        if now >= self._next_slow_far:
-            self._next_slow_far = now + self._settings.slow_seconds
-            hearsay = self._peers.choose_hearsay(now)
-            flows = self._peers.sum_flows()
-            report = _messages.LoadReport(self._own.zone, True, 0.0, flows)
-            loads = (report,)
-        beacon = self._build(now, loads=loads, hearsay=hearsay)
-        return [_effect.SendBeacon(hosts, beacon)]
-
-    def _approach(self, now: float) -> list[object]:
-        hosts = self._peers.list_lost_seeds()
-        if self._own.host in hosts:
-            hosts.remove(self._own.host)
-        if not hosts:
-            return []
-        return [_effect.SendBeacon(hosts, self._build(now, is_asking=True))]
-
     def _wake(self, now: float) -> list[object]:
         """Find out what was missed while the process stood still."""
         for topic in self._topics:
@@ -507,25 +383,7 @@
         ]
         return [
             _effect.Note('paused', paused_ms=paused),
-            _effect.SendBeacon(hosts, self._build(now, is_asking=True)),
+            _effect.SendBeacon(
+                hosts, self._announcer.build(now, is_asking=True)
+            ),
         ]
-
-    def _build(
-        self,
-        now: float,
-        news: _messages.News | None = None,
-        loads: tuple[_messages.LoadReport, ...] = (),
-        hearsay: tuple[_messages.Hearsay, ...] = (),
-        is_asking: bool = False,
-    ) -> _messages.Beacon:
-        return _messages.Beacon(
-            self._own.name,
-            self._own.zone,
-            self._own.capacity,
-            self._own.is_leaving,
-            is_asking,
-            tuple(topic.describe(now) for topic in self._topics),
-            news,
-            loads,
-            hearsay,
-        )
