Flows leave their zone where its upstreams are 20% above the mean

Ruled out: views of the load that differ (the association's even zones have 1.05 with the same views).

--- a/skylarkfold/affinity/_settings.py
+++ b/skylarkfold/affinity/_settings.py
@@ -52,7 +52,10 @@
     :param load_seconds: how long what a peer said of its flows counts; it
         says so several times a second.
     :param near_tolerance: an upstream in this zone is preferred until its
-        load is above the mean by this share.
+        load is above the mean by this share. On a calm day of the
+        co-operative, one zone of which has more callers than upstreams,
+        the busiest had 1.29 times the mean at 0.5, 1.08 at 0.2 and 1.05 at
+        0.05; new flows cross zones more often the lower it is.
     """
 
     __slots__ = (
@@ -99,7 +102,7 @@
         active_seconds: float = 3.0,
         flow_limit: int = 32768,
         load_seconds: float = 2.5,
-        near_tolerance: float = 0.5,
+        near_tolerance: float = 0.2,
     ) -> None:
         self.open_patience_seconds = open_patience_seconds
         self.open_tries = open_tries
--- /dev/null
+++ b/skylarkfold/tests/affinity/test_placement.py
@@ -0,0 +1,56 @@
+"""Tests of the choice of an upstream."""
+
+import testtools
+
+from skylarkfold import affinity
+from skylarkfold.affinity import _placement
+from skylarkfold.affinity import _standing
+from skylarkfold.tests.affinity import samples
+
+# Upstreams and callers' flows by zone: one zone has more of the flows than
+# of the upstreams, as one of the co-operative's has.
+UPSTREAMS = {'a': 3, 'b': 2, 'c': 2}
+FLOWS = {'a': 134, 'b': 110, 'c': 156}
+
+
+class PlacementTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.settings = affinity.AffinitySettings()
+        self.standings = []
+        for zone, count in UPSTREAMS.items():
+            for _ in range(count):
+                number = len(self.standings) + 1
+                upstream = samples.build_upstream(number, zone=zone)
+                standing = _standing.Standing(upstream, 0.0)
+                self.standings.append(standing)
+
+    def place(self, zone, port):
+        hashed = _placement.hash_flow(samples.build_flow(port))
+        chosen = _placement.choose_upstream(
+            0.0, self.standings, zone, hashed, (), self.settings
+        )
+        chosen.flows += 1
+        return chosen
+
+    def place_all(self):
+        """Place all flows, those of the zones in turns."""
+        left = dict(FLOWS)
+        strangers = 0
+        while any(left.values()):
+            zone = max(left, key=lambda each: left[each] / FLOWS[each])
+            left[zone] -= 1
+            chosen = self.place(zone, sum(left.values()))
+            strangers += chosen.upstream.zone != zone
+        return strangers
+
+    def compute_imbalance(self):
+        loads = [each.flows for each in self.standings]
+        return max(loads) * len(loads) / sum(loads)
+
+    def test_the_busiest_is_near_the_mean_where_zones_are_uneven(self):
+        self.place_all()
+        self.assertLess(self.compute_imbalance(), 1.25)
+
+    def test_few_flows_leave_their_zone(self):
+        self.assertLess(self.place_all(), sum(FLOWS.values()) / 10)
