New flows of a crowded service are refused

Ruled out: imbalance (1.03), instances short of processor (lag below 10 ms). Change: Admission refuses new flows while answers take more than 52% of what their route aims at, all at 62%, after 0.4 s, preferred routes last; routes carry priority and aim (is_urgent, which nobody used, is gone; its test checks priority and aim). A line 'reset crowded' with the share.

--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -5,6 +5,7 @@
 import collections
 from collections.abc import Iterable
 
+from skylarkfold.affinity import _admission
 from skylarkfold.affinity import _directory
 from skylarkfold.affinity import _effect
 from skylarkfold.affinity import _ending
@@ -43,8 +44,14 @@
         self._directory = _directory.Directory(settings)
         self._flows = _flow.FlowTable(settings.flow_limit)
         self._ending = _ending.Ending(settings, self._flows, self.tally)
+        self._admission = _admission.Admission(settings)
         self._health = _health.HealthWatch(
-            zone, settings, self._directory, self._ending, self.tally
+            zone,
+            settings,
+            self._directory,
+            self._ending,
+            self._admission,
+            self.tally,
         )
         self._peer_loads = _load.PeerLoads(settings, self._directory)
         self._openings: collections.deque[tuple[float, _flow.Flow]] = (
@@ -241,11 +248,16 @@
         route = self._routes.get(packet.address)
         if route is None:
             return self._refuse_route(now, packet)
+        hashed = _placement.hash_flow(packet.flow)
+        service = route.choose_service(hashed)
+        if self._admission.is_refused(now, service, route, hashed):
+            return self._refuse_crowded(now, packet, service)
         standing = self._choose(now, packet.flow, route, ())
         if standing is None:
             return self._refuse(packet, Reason.NO_UPSTREAM)
         flow = _flow.Flow(packet.flow, standing, now)
         flow.is_idempotent = route.is_idempotent
+        flow.aim_seconds = route.aim_seconds
         flow.first = packet.data
         self._flows.add(flow)
         return self._send_first(now, flow, standing, Reason.PLACED)
@@ -343,7 +355,9 @@
         if flow is None:
             flow = _flow.Flow(packet.flow, standing, now)
             route = self._routes.get(packet.address)
-            flow.is_idempotent = route is not None and route.is_idempotent
+            if route is not None:
+                flow.is_idempotent = route.is_idempotent
+                flow.aim_seconds = route.aim_seconds
             # Its former instance may have passed on a request.
             flow.acknowledged = packet.acknowledged
             flow.is_open = True
@@ -403,9 +417,21 @@
             return self._drop(Reason.ROUTE_UNKNOWN)
         return self._refuse(packet, Reason.NO_ROUTE)
 
-    def _refuse(self, packet: _packet.Packet, reason: str) -> list[object]:
+    def _refuse_crowded(
+        self, now: float, packet: _packet.Packet, service: str
+    ) -> list[object]:
+        share = self._admission.compute_share(now, service)
+        details = {'service': service, 'share_of_aim': round(share, 2)}
+        return self._refuse(packet, Reason.CROWDED, details)
+
+    def _refuse(
+        self,
+        packet: _packet.Packet,
+        reason: str,
+        known: dict[str, object] | None = None,
+    ) -> list[object]:
         self.tally.count(_tally.RESET, reason)
-        details = {'version': self._routes.version}
+        details = {'version': self._routes.version, **(known or {})}
         return [
             _effect.Record('reset', reason, packet.flow, details=details),
             _effect.Reset(packet.flow, packet.acknowledged),
--- a/skylarkfold/affinity/_effect.py
+++ b/skylarkfold/affinity/_effect.py
@@ -16,6 +16,7 @@
     ROUTE_UNKNOWN = 'route-unknown'
     ROUTE_REMOVED = 'route-removed'
     NO_UPSTREAM = 'no-upstream'
+    CROWDED = 'crowded'
     NO_TOKEN = 'no-token'
     TOKEN_UNKNOWN = 'token-unknown'
     OTHER_SERVICE = 'other-service'
--- a/skylarkfold/affinity/_flow.py
+++ b/skylarkfold/affinity/_flow.py
@@ -32,6 +32,8 @@
     :ivar acknowledged: the caller's highest acknowledgement.
     :ivar first: its first packet, kept until it is open.
     :ivar tried: names of the upstreams that got its first packet.
+    :ivar aim_seconds: how soon its requests want to be answered; 0 where
+        that is not known.
     :ivar is_idempotent: whether its requests may run more than once.
     :ivar is_counted: whether it counts for its upstream's load.
     :ivar is_closed: whether its caller has ended it.
@@ -39,6 +41,7 @@
 
     __slots__ = (
         'acknowledged',
+        'aim_seconds',
         'begun_at',
         'doubted_wait',
         'first',
@@ -67,6 +70,7 @@
         self.is_closed = False
         self.is_counted = False
         self.is_idempotent = False
+        self.aim_seconds = 0.0
         self.waiting_since: float | None = None
         self.doubted_wait: float | None = None
         self.sent: int | None = None
--- a/skylarkfold/affinity/_health.py
+++ b/skylarkfold/affinity/_health.py
@@ -13,6 +13,7 @@
 
 import collections
 
+from skylarkfold.affinity import _admission
 from skylarkfold.affinity import _directory
 from skylarkfold.affinity import _effect
 from skylarkfold.affinity import _ending
@@ -35,6 +36,7 @@
     :param settings: the limits.
     :param directory: all upstreams.
     :param ending: resets the flows of upstreams that are gone.
+    :param admission: told how long answers take.
     :param tally: where durations are counted.
     """
 
@@ -44,12 +46,14 @@
         settings: _settings.AffinitySettings,
         directory: _directory.Directory,
         ending: _ending.Ending,
+        admission: _admission.Admission,
         tally: _tally.Tally,
     ) -> None:
         self._zone = zone
         self._settings = settings
         self._directory = directory
         self._ending = ending
+        self._admission = admission
         self._histograms = tally.histograms
         self._patience = _patience.Patience(settings)
         self._waits: collections.deque[tuple[float, _flow.Flow]] = (
@@ -243,6 +247,9 @@
             service = flow.standing.upstream.service
             waited = now - flow.waiting_since
             self._patience.note(service, waited)
+            if flow.aim_seconds:
+                share = waited / flow.aim_seconds
+                self._admission.note(now, service, share)
             self._histograms[_tally.ANSWER_SECONDS].observe(waited)
             flow.waiting_since = None
 
--- a/skylarkfold/affinity/_route.py
+++ b/skylarkfold/affinity/_route.py
@@ -11,22 +11,36 @@
     :param address: the packed address and port.
     :param shares: the services that new flows go to, each with its weight.
     :param is_idempotent: whether its requests may run more than once.
-    :param is_urgent: whether its requests go before those of others.
+    :param priority: its requests go before those with a larger number.
+    :param aim_seconds: how soon its requests want to be answered; 0 where
+        that is not said.
+    :ivar is_preferred: whether others of its table have a larger number.
     """
 
-    __slots__ = ('address', 'is_idempotent', 'is_urgent', 'shares', '_total')
+    __slots__ = (
+        '_total',
+        'address',
+        'aim_seconds',
+        'is_idempotent',
+        'is_preferred',
+        'priority',
+        'shares',
+    )
 
     def __init__(
         self,
         address: bytes,
         shares: Iterable[tuple[str, int]],
         is_idempotent: bool = False,
-        is_urgent: bool = False,
+        priority: int = 0,
+        aim_seconds: float = 0.0,
     ) -> None:
         self.address = address
         self.shares = tuple(each for each in shares if each[1] > 0)
         self.is_idempotent = is_idempotent
-        self.is_urgent = is_urgent
+        self.priority = priority
+        self.aim_seconds = aim_seconds
+        self.is_preferred = False
         self._total = sum(weight for _, weight in self.shares)
 
     def choose_service(self, hashed: int) -> str | None:
@@ -66,6 +80,11 @@
         self.version = version
         self.idle_seconds = idle_seconds
         self._routes = {each.address: each for each in routes}
+        last = max(
+            (each.priority for each in self._routes.values()), default=0
+        )
+        for each in self._routes.values():
+            each.is_preferred = each.priority < last
 
     def __len__(self) -> int:
         return len(self._routes)
--- a/skylarkfold/affinity/_settings.py
+++ b/skylarkfold/affinity/_settings.py
@@ -51,6 +51,16 @@
         hold 8,167 each.
     :param load_seconds: how long what a peer said of its flows counts; it
         says so several times a second.
+    :param crowd_share: while the answers of a service take more than this
+        share of what their route aims at, some of its new flows are
+        refused; those of preferred routes from halfway to ``crowd_limit``.
+    :param crowd_patience_seconds: how long a service must have been crowded
+        before, with gaps of up to ``crowd_seconds``. After a restart of
+        everything all callers come at once, and their queue is gone within
+        half a second by itself.
+    :param crowd_limit: all are refused from this share on.
+    :param crowd_quantile: which of the last answers counts, by length.
+    :param crowd_seconds: how long an answer counts for that.
     :param near_tolerance: an upstream in this zone is preferred until its
         load is above the mean by this share. On a calm day of the
         co-operative, one zone of which has more callers than upstreams,
@@ -61,6 +71,11 @@
     __slots__ = (
         'active_seconds',
         'ask_seconds',
+        'crowd_limit',
+        'crowd_patience_seconds',
+        'crowd_quantile',
+        'crowd_seconds',
+        'crowd_share',
         'answer_patience_seconds',
         'flow_limit',
         'flow_seconds',
@@ -102,6 +117,11 @@
         active_seconds: float = 3.0,
         flow_limit: int = 32768,
         load_seconds: float = 2.5,
+        crowd_share: float = 0.52,
+        crowd_limit: float = 0.62,
+        crowd_patience_seconds: float = 0.4,
+        crowd_quantile: float = 0.6,
+        crowd_seconds: float = 2.0,
         near_tolerance: float = 0.2,
     ) -> None:
         self.open_patience_seconds = open_patience_seconds
@@ -123,4 +143,9 @@
         self.active_seconds = active_seconds
         self.flow_limit = flow_limit
         self.load_seconds = load_seconds
+        self.crowd_share = crowd_share
+        self.crowd_limit = crowd_limit
+        self.crowd_patience_seconds = crowd_patience_seconds
+        self.crowd_quantile = crowd_quantile
+        self.crowd_seconds = crowd_seconds
         self.near_tolerance = near_tolerance
--- a/skylarkfold/platform/_objects.py
+++ b/skylarkfold/platform/_objects.py
@@ -18,7 +18,6 @@
 _ROUTES_NAME = 'main'
 _IDEMPOTENT_TYPES = ('idempotent', 'download')
 _DRAINING = 'draining'
-_MOST_URGENT = 0
 _ID_BITS = 64
 
 _logger = logging.getLogger('skylarkfold')
@@ -82,7 +81,8 @@
         address,
         shares,
         is_idempotent=fields.get('type') in _IDEMPOTENT_TYPES,
-        is_urgent=fields.get('priority') == _MOST_URGENT,
+        priority=int(fields.get('priority', 0)),
+        aim_seconds=float(fields.get('target_latency_ms', 0)) / 1000,
     )
 
 
--- a/skylarkfold/tests/platform/test_objects.py
+++ b/skylarkfold/tests/platform/test_objects.py
@@ -21,6 +21,7 @@
             'path_prefix': '/8443/',
             'type': 'idempotent',
             'priority': 0,
+            'target_latency_ms': 250,
             'traffic_split': [
                 {'service': 'archebu', 'weight': 90},
                 {'service': 'tocyn', 'weight': 10},
@@ -83,7 +84,7 @@
         route = routes.get(affinity.pack_address('198.18.0.1', 8443))
         self.assertEqual((('archebu', 90), ('tocyn', 10)), route.shares)
         self.assertTrue(route.is_idempotent)
-        self.assertTrue(route.is_urgent)
+        self.assertEqual((0, 0.25), (route.priority, route.aim_seconds))
         other = routes.get(affinity.pack_address('198.18.0.2', 8080))
         self.assertFalse(other.is_idempotent)
 
