--- a/skylarkfold/tests/relay/fleet.py
+++ b/skylarkfold/measure/_relay_fleet.py
@@ -1,28 +1,40 @@
 """A store and instances with relays on a virtual clock."""
 
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
 import heapq
 import itertools
+import time
 
 from skylarkfold import relay
 
 TOPICS = ('routes', 'upstreams')
 STORE = 'store'
+# One way, between any two instances and to the store.
 DELAY_SECONDS = 0.001
+# As often as the daemon looks at what is due.
 TICK_SECONDS = 0.01
 
 
 class FakeStore:
     """The store's objects with all their history."""
 
-    def __init__(self):
+    def __init__(self) -> None:
         self.revision = 1
         self.objects = {topic: {} for topic in TOPICS}
         self.history = []
         self.forgotten = 0
         self.calls = 0
 
-    def put(self, topic, path, value):
-        """Write an object; None deletes it."""
+    def put(self, topic: str, path: str, value: object) -> None:
+        """Write an object.
+
+        :param topic: the topic.
+        :param path: the object.
+        :param value: what it holds; None deletes it.
+        """
         self.revision += 1
         known = self.objects[topic].get(path)
         created = self.revision if known is None else known.created
@@ -33,17 +45,25 @@
             self.objects[topic][path] = item
         self.history.append((topic, item))
 
-    def forget(self):
+    def forget(self) -> None:
         """Drop the history."""
         self.forgotten = self.revision
 
-    def list(self, topic):
-        """Answer a listing."""
+    def list(self, topic: str) -> relay.Answer:
+        """Answer a listing.
+
+        :param topic: the topic.
+        :returns: the answer.
+        """
         items = list(self.objects[topic].values())
         return relay.Answer(relay.Status.OK, items, self.revision)
 
-    def find_changes(self, call):
-        """Answer a watch, None while there is nothing to say."""
+    def find_changes(self, call: relay.Call) -> relay.Answer | None:
+        """Answer a watch.
+
+        :param call: the watch.
+        :returns: the answer, None while there is nothing to say.
+        """
         if call.revision < self.forgotten:
             return relay.Answer(relay.Status.FORGOTTEN)
         items = [
@@ -57,18 +77,34 @@
 
 
 class Fleet:
-    """Instances, the store and the paths between them."""
+    """Instances, the store and the paths between them.
 
-    def __init__(self, zones, settings=None):
+    :param zones: the availability zone of each instance.
+    :param settings: the relay's settings.
+    :ivar cores: the decisions of each instance, by name.
+    :ivar zones: the availability zone of each instance, by name.
+    :ivar cut: whether nothing passes between two names.
+    :ivar sent: bytes that each instance sent to others, by its name.
+    :ivar spent: processor seconds of each instance's decisions.
+    :ivar written: when objects were last written, by topic and path.
+    :ivar changes: what instances learnt, each with time and name.
+    """
+
+    def __init__(
+        self,
+        zones: tuple[str, ...],
+        settings: relay.RelaySettings | None = None,
+    ) -> None:
         self.now = 0.0
         self.store = FakeStore()
         self.settings = settings or relay.RelaySettings(topics=TOPICS)
         self.cores = {}
         self.zones = {}
-        self.sent = 0
-        self.changes = []
-        self.watches = []
-        self.cut = lambda one, other: False
+        self.sent: collections.Counter[str] = collections.Counter()
+        self.spent: collections.Counter[str] = collections.Counter()
+        self.written: dict[tuple[str, str], float] = {}
+        self.changes: list[tuple[float, str, relay.Changed]] = []
+        self.cut: Callable[[str, str], bool] = lambda one, other: False
         self.is_store_down = False
         # Calls that began before this time are never answered.
         self.silent_before = float('-inf')
@@ -77,28 +113,54 @@
         for number, zone in enumerate(zones):
             self.start(f'entry-{number}', zone)
 
-    def start(self, name, zone, capacity=0):
-        """Start an instance that knows nothing but two seeds."""
+    def start(self, name: str, zone: str, capacity: int = 0) -> None:
+        """Start an instance that knows nothing but two seeds.
+
+        :param name: its name.
+        :param zone: its availability zone.
+        :param capacity: what it has to spare.
+        """
         self.zones[name] = zone
         core = relay.RelayCore(name, zone, name, self.settings, capacity)
         core.set_seeds(('entry-0', 'entry-1'))
         self.cores[name] = core
         self._plan(0.0, lambda: self._tick(name, core))
 
-    def end(self, name):
-        """End an instance without a word."""
+    def end(self, name: str) -> None:
+        """End an instance without a word.
+
+        :param name: its name.
+        """
         del self.cores[name]
 
-    def run(self, seconds):
-        """Let time pass."""
+    def write(self, topic: str, path: str, value: object) -> None:
+        """Write an object to the store and note when.
+
+        :param topic: the topic.
+        :param path: the object.
+        :param value: what it holds; None deletes it.
+        """
+        self.store.put(topic, path, value)
+        self.written[(topic, path)] = self.now
+
+    def run(self, seconds: float) -> None:
+        """Let time pass.
+
+        :param seconds: how much.
+        """
         until = self.now + seconds
         while self._queue and self._queue[0][0] <= until:
             self.now, _, action = heapq.heappop(self._queue)
             action()
         self.now = until
 
-    def get_revisions(self, topic, path):
-        """Tell which revision of an object each instance knows."""
+    def get_revisions(self, topic: str, path: str) -> dict[str, int]:
+        """Tell which revision of an object each instance knows.
+
+        :param topic: the topic.
+        :param path: the object.
+        :returns: revisions by instance; 0 where it is not known.
+        """
         found = {}
         for name, core in self.cores.items():
             items = {each.path: each for each in core.list_items(topic)}
@@ -106,18 +168,22 @@
             found[name] = 0 if item is None else item.revision
         return found
 
-    def _plan(self, seconds, action):
+    def _plan(self, seconds: float, action: Callable[[], object]) -> None:
         entry = (self.now + seconds, next(self._count), action)
         heapq.heappush(self._queue, entry)
 
-    def _tick(self, name, core):
+    def _tick(self, name: str, core: relay.RelayCore) -> None:
         if self.cores.get(name) is not core:
             return
-        self.perform(name, core.tick(self.now))
+        self._decide(name, core.tick, self.now)
         self._plan(TICK_SECONDS, lambda: self._tick(name, core))
 
-    def perform(self, name, effects):
-        """Perform what an instance decided."""
+    def perform(self, name: str, effects: list[object]) -> None:
+        """Perform what an instance decided.
+
+        :param name: the instance.
+        :param effects: its decisions.
+        """
         for wanted in effects:
             if isinstance(wanted, relay.CallStore):
                 self._call(name, self.cores[name], wanted.call)
@@ -130,25 +196,37 @@
             elif isinstance(wanted, relay.Changed):
                 self.changes.append((self.now, name, wanted))
 
-    def _is_cut(self, one, other):
+    def _decide(
+        self,
+        name: str,
+        decide: Callable[..., list[object]],
+        *arguments: object,
+    ) -> None:
+        begun = time.process_time()
+        effects = decide(*arguments)
+        self.spent[name] += time.process_time() - begun
+        self.perform(name, effects)
+
+    def _is_cut(self, one: str, other: str) -> bool:
         if other == STORE and self.is_store_down:
             return True
         return self.cut(one, other) or self.cut(other, one)
 
-    def _send(self, name, host, data):
-        self.sent += len(data)
+    def _send(self, name: str, host: str, data: bytes) -> None:
+        self.sent[name] += len(data)
 
-        def arrive():
+        def arrive() -> None:
             core = self.cores.get(host)
             if core is None or self._is_cut(name, host):
                 return
-            beacon = relay.decode_beacon(data)
-            self.perform(host, core.take_beacon(self.now, name, beacon))
+            self._decide(host, _take_beacon, core, self.now, name, data)
 
         self._plan(DELAY_SECONDS, arrive)
 
-    def _fetch(self, name, core, wanted):
-        def ask():
+    def _fetch(
+        self, name: str, core: relay.RelayCore, wanted: relay.Fetch
+    ) -> None:
+        def ask() -> None:
             other = self.cores.get(wanted.host)
             page = None
             if other is not None and not self._is_cut(name, wanted.host):
@@ -156,29 +234,31 @@
                     self.now, wanted.topic, wanted.position
                 )
             if page is not None:
-                page = relay.decode_page(relay.encode_page(page))
+                data = relay.encode_page(page)
+                self.sent[wanted.host] += len(data)
+                page = relay.decode_page(data)
             delay = DELAY_SECONDS if page else wanted.timeout_seconds
             self._plan(delay, lambda: answer(page))
 
-        def answer(page):
+        def answer(page: relay.Page | None) -> None:
             if self.cores.get(name) is core:
-                effects = core.take_page(self.now, wanted, page)
-                self.perform(name, effects)
+                self._decide(name, core.take_page, self.now, wanted, page)
 
         self._plan(DELAY_SECONDS, ask)
 
-    def _call(self, name, core, call):
+    def _call(
+        self, name: str, core: relay.RelayCore, call: relay.Call
+    ) -> None:
         self.store.calls += 1
         begun = self.now
         until = self.now + call.wait_seconds
         given_up = self.now + call.timeout_seconds
 
-        def answer(found):
+        def answer(found: relay.Answer) -> None:
             if self.cores.get(name) is core:
-                effects = core.take_answer(self.now, call, found)
-                self.perform(name, effects)
+                self._decide(name, core.take_answer, self.now, call, found)
 
-        def look():
+        def look() -> None:
             is_silent = begun < self.silent_before
             if is_silent or self._is_cut(name, STORE):
                 if self.now >= given_up:
@@ -198,3 +278,9 @@
                 answer(found)
 
         self._plan(2 * DELAY_SECONDS, look)
+
+
+def _take_beacon(
+    core: relay.RelayCore, now: float, sender: str, data: bytes
+) -> list[object]:
+    return core.take_beacon(now, sender, relay.decode_beacon(data))
--- a/skylarkfold/report/_capacity.py
+++ b/skylarkfold/report/_capacity.py
@@ -10,6 +10,7 @@
 from skylarkfold.report import _figure
 from skylarkfold.report import _size
 from skylarkfold.report import _slopes
+from skylarkfold.report import _token_lines
 
 # The measures' own sizes.
 MEASURED_INSTANCES = 8
@@ -59,6 +60,9 @@
             *self._list_members(),
             *self._list_watchers(),
             *self._list_request_homes(),
+            *_token_lines.list_token_figures(
+                self._slopes, self._size, self._budget
+            ),
         ]
 
     def _list_data_path(self) -> Figures:
--- /dev/null
+++ b/skylarkfold/tests/measure/test_relay.py
@@ -0,0 +1,46 @@
+"""Tests of the measure of the relay."""
+
+import testtools
+
+from skylarkfold.measure import relay
+from skylarkfold import report
+from skylarkfold.report import _size
+from skylarkfold.report import _slopes
+from skylarkfold.report import _token_lines
+
+
+class RelayTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        results = relay.measure(sizes=(7,))
+        self.results = {each.scenario: each for each in results}
+
+    def test_all_scenarios_are_measured(self):
+        self.assertEqual(
+            {'rest', 'routes', 'upstreams', 'zone-cut'}, set(self.results)
+        )
+
+    def test_changes_reach_every_instance_and_cost_bytes(self):
+        for scenario in ('routes', 'upstreams'):
+            result = self.results[scenario]
+            self.assertLess(result.reach_seconds, 0.5)
+            self.assertGreater(result.bytes_a_change, 0)
+
+    def test_few_call_the_store_at_rest(self):
+        # Three watchers with two topics, one call in 3 s each.
+        self.assertLess(self.results['rest'].calls_per_second, 3.0)
+
+    def test_the_capacity_page_has_its_figures(self):
+        size = _size.Size(nodes=7)
+        rows = [
+            {name: getattr(each, name) for name in each.__slots__}
+            for each in self.results.values()
+        ]
+        measured = report.Measured('', '', '', '', 1.0, rows)
+        slopes = _slopes.Slopes(report.Results({'relay': measured}))
+        figures = list(
+            _token_lines.list_token_figures(slopes, size, _size.Budget())
+        )
+        self.assertEqual([], [each for each in figures if each.value is None])
+        lasting = figures[-1]
+        self.assertGreater(lasting.value, figures[0].value)
--- a/skylarkfold/tests/relay/test_spread.py
+++ b/skylarkfold/tests/relay/test_spread.py
@@ -4,8 +4,8 @@
 from hypothesis import strategies
 import testtools
 
+from skylarkfold.measure import _relay_fleet as fleet_module
 from skylarkfold import relay
-from skylarkfold.tests.relay import fleet as fleet_module
 
 ZONES = ('a', 'a', 'a', 'b', 'b', 'c', 'c')
 LARGE = {'text': 'x' * 20000}
