An instance's settings are the product's, not the adapter's

Change: machine.MachineSettings and SettingsFile serve both; the forwarder reads the file again itself; the adapter keeps packets, objects and calls.

--- a/skylarkfold/forwarder/__init__.py
+++ b/skylarkfold/forwarder/__init__.py
@@ -11,11 +11,9 @@
 from skylarkfold.forwarder._own import read_own_settings
 from skylarkfold.forwarder._platform import Platform
 from skylarkfold.forwarder._platform import Store
-from skylarkfold.forwarder._settings import ForwarderSettings
 
 __all__ = [
     'Forwarder',
-    'ForwarderSettings',
     'OwnSettings',
     'Platform',
     'Store',
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -11,11 +11,12 @@
 from skylarkfold import errors
 from skylarkfold.forwarder import _departure
 from skylarkfold.forwarder import _metrics
+from skylarkfold.forwarder import _own
 from skylarkfold.forwarder import _peers
 from skylarkfold.forwarder import _platform
 from skylarkfold.forwarder import _probe
 from skylarkfold.forwarder import _reporter
-from skylarkfold.forwarder import _settings
+from skylarkfold import machine
 from skylarkfold import reactor
 from skylarkfold import relay
 
@@ -39,6 +40,8 @@
     """One instance: feeds its decisions and performs their effects.
 
     :param settings: its identity, addresses and limits.
+    :param file: where they are read again.
+    :param own: what is not the platform's to say.
     :param platform: the platform's bytes.
     :param packets: the socket for callers' packets; they wait in the
         kernel until this instance reads them.
@@ -47,12 +50,16 @@
 
     def __init__(
         self,
-        settings: _settings.ForwarderSettings,
+        settings: machine.MachineSettings,
+        file: machine.SettingsFile,
+        own: _own.OwnSettings,
         platform: _platform.Platform,
         packets: socket.socket,
     ) -> None:
-        own = settings.own
         self._settings = settings
+        self._file = file
+        own.affinity.flow_seconds = settings.flow_seconds
+        own.relay.topics = (platform.routes_topic, platform.upstreams_topic)
         self._platform = platform
         self._packets = packets
         self._loop = reactor.Loop()
@@ -135,7 +142,7 @@
 
     def _reload(self, is_forced: bool = True) -> None:
         try:
-            settings = self._platform.reread_settings(is_forced)
+            settings = self._file.reread(is_forced)
         except errors.SettingsError as error:
             self._reporter.log(
                 'settings', logging.ERROR, reason='kept', error=str(error)
--- a/skylarkfold/forwarder/_platform.py
+++ b/skylarkfold/forwarder/_platform.py
@@ -7,7 +7,6 @@
 from typing import Protocol
 
 from skylarkfold import affinity
-from skylarkfold.forwarder import _settings
 from skylarkfold import reactor
 from skylarkfold import relay
 
@@ -57,13 +56,5 @@
     ) -> list[affinity.Upstream]:
         """Read the upstreams' entries; unusable ones are left out."""
 
-    def reread_settings(
-        self, is_forced: bool
-    ) -> _settings.ForwarderSettings | None:
-        """Read the settings again if they have changed.
-
-        :raises SettingsError: if they can't be used.
-        """
-
     def open_store(self, loop: reactor.Loop) -> Store:
         """Make a client of the store."""
--- a/skylarkfold/platform/_settings.py
+++ b/skylarkfold/machine.py
@@ -1,6 +1,6 @@
-"""What the platform tells an instance, in the file that it fills in.
+"""What an instance is told of its machine, in a settings file.
 
-The platform makes the file from ``deploy/settings.template``, which
+A platform fills the file in from ``deploy/settings.template``, which
 translates its names. JSON, since reading TOML takes 14 ms of each start.
 Imports little: the packet socket is bound from it before the rest of the
 program is loaded.
@@ -13,16 +13,18 @@
 
 from skylarkfold import errors
 
-# The environment variable that holds the file's path.
-PATH_VARIABLE = 'SKYLARKFOLD_CONFIG'
 _MAXIMUM_PORT = 65535
 # For files that leave them out: what the platform's example has.
 _GRACE_SECONDS = 6.0
 _FLOW_SECONDS = 60.0
+# A machine's capacity is counted in these.
+_CORES_STEP = 0.1
+_LINK_STEP_MBPS = 10.0
+_MOST_CAPACITY = 20
 
 
-class PlatformSettings:
-    """What the file says, in the product's terms.
+class MachineSettings:
+    """An instance's identity, addresses and limits.
 
     :param name: the instance's name.
     :param zone: its availability zone.
@@ -78,33 +80,70 @@
         self.grace_seconds = grace_seconds
         self.flow_seconds = flow_seconds
 
+    @property
+    def capacity(self) -> int:
+        """What the machine has to spare for duties.
 
-def find_path() -> str:
-    """Find the settings file.
+        By whichever it has less of: a watcher takes each whole
+        configuration from the store, 400 KB on a large day, a third of a
+        second on the smallest links.
+        """
+        tenths = self.cores / _CORES_STEP
+        links = self.link_mbps / _LINK_STEP_MBPS
+        return int(min(tenths, links, _MOST_CAPACITY))
 
-    :returns: its path.
-    :raises SettingsError: if the environment does not name one.
-    """
-    path = os.environ.get(PATH_VARIABLE, '')
-    if not path:
-        raise errors.SettingsError(f'{PATH_VARIABLE} is not set')
-    return path
+    def list_addresses(self) -> tuple[tuple[str, int], ...]:
+        """List what sockets are bound to or opened towards."""
+        return (
+            self.packet_address,
+            self.ready_address,
+            self.peer_address,
+            self.store_address,
+        )
 
 
-def identify(path: str) -> tuple[int, ...]:
-    """Tell a file from what it was before.
+class SettingsFile:
+    """A settings file that may change, with or without a signal.
 
     :param path: the file.
-    :returns: what changes with it; empty if it can't be looked at.
     """
-    try:
-        found = os.stat(path)
-    except OSError:
-        return ()
-    return (found.st_mtime_ns, found.st_size, found.st_ino)
+
+    __slots__ = ('_path', '_read_as')
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self._read_as: tuple[int, ...] = ()
+
+    def read(self) -> MachineSettings:
+        """Read the file.
+
+        :returns: the settings.
+        :raises SettingsError: if it can't be read or used.
+        """
+        self._read_as = self._identify()
+        return read_settings(self._path)
+
+    def reread(self, is_forced: bool) -> MachineSettings | None:
+        """Read the file again if it has changed.
+
+        :param is_forced: whether to read it in any case.
+        :returns: the settings, None if nothing has changed.
+        :raises SettingsError: if it can't be read or used.
+        """
+        if self._identify() == self._read_as and not is_forced:
+            return None
+        return self.read()
+
+    def _identify(self) -> tuple[int, ...]:
+        """Tell the file from what it was before."""
+        try:
+            found = os.stat(self._path)
+        except OSError:
+            return ()
+        return (found.st_mtime_ns, found.st_size, found.st_ino)
 
 
-def read_settings(path: str) -> PlatformSettings:
+def read_settings(path: str) -> MachineSettings:
     """Read the settings file.
 
     :param path: the file, in JSON.
@@ -123,7 +162,7 @@
     return convert_settings(fields, path)
 
 
-def convert_settings(fields: object, source: str) -> PlatformSettings:
+def convert_settings(fields: object, source: str) -> MachineSettings:
     """Check settings.
 
     :param fields: what the file holds.
@@ -136,7 +175,7 @@
     section = _Section(fields, source)
     host = section.get_text('host')
     share = section.get_number('core_share', 1.0)
-    return PlatformSettings(
+    return MachineSettings(
         name=section.get_text('name'),
         zone=section.get_text('zone'),
         packet_address=section.get_address('packet_address'),
--- a/skylarkfold/platform/__main__.py
+++ b/skylarkfold/platform/__main__.py
@@ -11,13 +11,16 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import sys
 
 from skylarkfold import datagram
 from skylarkfold import errors
-from skylarkfold.platform import _settings
+from skylarkfold import machine
 
+# The environment variable that holds the settings file's path.
+PATH_VARIABLE = 'SKYLARKFOLD_CONFIG'
 EXIT_SETTINGS = 3
 EXIT_ADDRESS = 6
 
@@ -28,11 +31,14 @@
     :returns: the exit status.
     """
     try:
-        path = _settings.find_path()
-        settings = _settings.read_settings(path)
+        path = os.environ.get(PATH_VARIABLE, '')
+        if not path:
+            raise errors.SettingsError(f'{PATH_VARIABLE} is not set')
+        file = machine.SettingsFile(path)
+        settings = file.read()
         packets = datagram.bind(settings.packet_address)
         own_path = sys.argv[1] if len(sys.argv) > 1 else ''
-        _serve(settings, path, own_path, packets)
+        _serve(settings, file, own_path, packets)
     except errors.SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
@@ -43,17 +49,17 @@
 
 
 def _serve(
-    settings: _settings.PlatformSettings,
-    path: str,
+    settings: machine.MachineSettings,
+    file: machine.SettingsFile,
     own_path: str,
     packets: socket.socket,
 ) -> None:
     from skylarkfold import forwarder
     from skylarkfold.platform import _adapter
 
-    adapter = _adapter.Adapter(settings, path, own_path)
-    instance = _adapter.build_settings(settings, own_path)
-    forwarder.Forwarder(instance, adapter, packets).run()
+    own = forwarder.read_own_settings(own_path)
+    adapter = _adapter.Adapter(settings)
+    forwarder.Forwarder(settings, file, own, adapter, packets).run()
 
 
 if __name__ == '__main__':
--- a/skylarkfold/platform/_objects.py
+++ b/skylarkfold/platform/_objects.py
@@ -12,7 +12,6 @@
 # The kinds of objects that an instance follows.
 ROUTES_TOPIC = 'config'
 UPSTREAMS_TOPIC = 'servers'
-TOPICS = (ROUTES_TOPIC, UPSTREAMS_TOPIC)
 
 # The one object that holds the newest configuration.
 _ROUTES_NAME = 'main'
--- a/skylarkfold/platform/check.py
+++ b/skylarkfold/platform/check.py
@@ -7,7 +7,7 @@
 
 from skylarkfold import errors
 from skylarkfold import forwarder
-from skylarkfold.platform import _settings
+from skylarkfold import machine
 
 # What the deploy file says of a role's own settings: they stand after the
 # module's name.
@@ -27,7 +27,7 @@
         own = forwarder.read_own_settings(path)
         return f'valid own settings, metrics at port {own.metrics_port}'
     if kind == 'platform':
-        settings = _settings.read_settings(path)
+        settings = machine.read_settings(path)
         return f'valid platform settings of {settings.name}'
     if kind == 'deploy':
         return _check_deploy(path)
--- a/skylarkfold/tests/platform/test_settings.py
+++ b/skylarkfold/tests/platform/test_settings.py
@@ -9,7 +9,7 @@
 import testtools
 
 from skylarkfold import errors
-from skylarkfold.platform import _settings
+from skylarkfold import machine
 from skylarkfold.platform import check
 from skylarkfold.standin import packets
 
@@ -34,7 +34,7 @@
 
     def read(self, fields):
         text = packets.fill(self.template, fields)
-        return _settings.convert_settings(json.loads(text), 'file')
+        return machine.convert_settings(json.loads(text), 'file')
 
     def make_folder(self):
         scratch = tempfile.TemporaryDirectory()
@@ -81,7 +81,7 @@
         for name, value in cases.items():
             error = self.assertRaises(
                 errors.SettingsError,
-                _settings.convert_settings,
+                machine.convert_settings,
                 {**whole, name: value},
                 'file',
             )
@@ -94,7 +94,7 @@
         for number, value in enumerate(fields.values()):
             whole[names[number % len(names)]] = value
         try:
-            _settings.convert_settings(whole, 'file')
+            machine.convert_settings(whole, 'file')
         except errors.SettingsError as error:
             self.assertTrue(error.path.startswith('$'))
 
@@ -105,7 +105,7 @@
         for length in range(len(text.rstrip())):
             path.write_text(text[:length])
             self.assertRaises(
-                errors.SettingsError, _settings.read_settings, str(path)
+                errors.SettingsError, machine.read_settings, str(path)
             )
 
     def test_a_missing_template_is_said(self):
