--- a/skylarkfold/_commands.py
+++ b/skylarkfold/_commands.py
@@ -205,16 +205,17 @@
             raise errors.PromiseError('a promise was not kept')
 
     def report(self, before: str, after: str) -> None:
-        """Compare two result files of `make measure`.
+        """Compare two result files, or two entries of the journal.
 
-        :param before: the earlier results.
-        :param after: the later ones.
+        :param before: the earlier results, of `make measure` or of the
+            users' bench.
+        :param after: the later ones, of the same sort.
         """
         report = _load('report')
-        compared = report.compare(
-            report.read_results(pathlib.Path(str(before))),
-            report.read_results(pathlib.Path(str(after))),
-        )
+        read, compare = report.read_results, report.compare
+        if report.is_entry(str(before)):
+            read, compare = report.read_entry, report.compare_entries
+        compared = compare(read(str(before)), read(str(after)))
         _load('table').print_results(list(compared), False)
 
     def measure(
--- a/skylarkfold/report/__init__.py
+++ b/skylarkfold/report/__init__.py
@@ -3,6 +3,9 @@
 from skylarkfold.report._capacity_page import format_capacity
 from skylarkfold.report._comparison import compare
 from skylarkfold.report._comparison import Difference
+from skylarkfold.report._journal import compare_entries
+from skylarkfold.report._journal import is_entry
+from skylarkfold.report._journal import read_entry
 from skylarkfold.report._page import format_page
 from skylarkfold.report._results import Measured
 from skylarkfold.report._results import read_results
@@ -15,8 +18,11 @@
     'Measured',
     'Results',
     'compare',
+    'compare_entries',
     'format_capacity',
     'format_page',
+    'is_entry',
+    'read_entry',
     'read_results',
     'run_measures',
     'write_results',
