--- a/skylarkfold/soak/__init__.py
+++ b/skylarkfold/soak/__init__.py
@@ -2,9 +2,11 @@
 
 Instances are processes as in production; the store, the upstreams, the
 callers and the routers are stand-ins in this process. A seed draws the
-faults: signals, a store that misbehaves towards some instances, upstreams
-that crash, fall silent, drain and are replaced, changes of the
-configuration. What callers and upstreams see is judged all along.
+faults: signals, a store that misbehaves towards some instances, a way to it
+that delays, loses answers, falls silent or resets, upstreams that crash, fall
+silent, drain and are replaced, changes of the configuration. What callers
+and upstreams see is judged all along, and that the last configuration is in
+force everywhere in the end.
 
 ``python -m skylarkfold.soak --seeds 1,2,3`` runs some seeds.
 """
--- a/skylarkfold/tests/soak/test_soak.py
+++ b/skylarkfold/tests/soak/test_soak.py
@@ -9,13 +9,15 @@
 from skylarkfold.soak import _plan
 
 SECONDS = 8.0
+# Long enough that the last configuration must be in force everywhere.
+LONG_SECONDS = 20.0
 
 
 class SoakTest(testtools.TestCase):
-    def run_seed(self, seed, planned_only=False):
+    def run_seed(self, seed, planned_only=False, seconds=SECONDS):
         with tempfile.TemporaryDirectory() as scratch:
             result = soak.run_seed(
-                seed, pathlib.Path(scratch), SECONDS, planned_only
+                seed, pathlib.Path(scratch), seconds, planned_only
             )
         self.assertEqual([], result.broken, f'{result.plan}')
         self.assertGreater(result.outcomes['answered'], 0)
@@ -26,6 +28,11 @@
     def test_faults_break_no_promise(self):
         self.run_seed(11)
 
+    def test_silent_connections_to_the_store_hide_no_change(self):
+        # Failed while a watch could wait for a silent connection for ever:
+        # the last configuration was in force nowhere.
+        self.run_seed(161, seconds=LONG_SECONDS)
+
     def test_the_same_seed_draws_the_same_plan(self):
         one = [repr(step) for step in soak.draw_plan(5, 20.0, False)]
         self.assertEqual(
