One of many tries lost seeds every 30 s

Cause: at 600 instances the busiest still sent 11.0 KB a second at rest, the whole budget: the pause grew with the instances that one knows, about 60 of the 600. Change: beyond 12 known instances a fixed pause; all of them together still try several times a second where two halves of a fleet have to meet.

--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -269,12 +269,12 @@
     def _compute_seed_pause(self) -> float:
         """Compute the pause until lost seeds are tried again.
 
-        All that know of many others together try no more often than few
-        do: a seed would have to answer each of them.
+        A seed answers each that tries it, in a large fleet hundreds of them.
         """
         settings = self._settings
-        known = len(self._peers.members) / settings.seed_members
-        return settings.seed_seconds * max(1.0, known)
+        if len(self._peers.members) > settings.seed_members:
+            return settings.seed_pause_seconds
+        return settings.seed_seconds
 
     def _ask(self, now: float) -> list[object]:
         """Call the store where that is this instance's duty."""
--- a/skylarkfold/relay/_settings.py
+++ b/skylarkfold/relay/_settings.py
@@ -33,9 +33,11 @@
     :param first_seconds: how long a new instance waits for a peer to
         answer before it asks the store; peers answer within 10 ms.
     :param seed_seconds: how often seeds that nobody known has are tried.
-    :param seed_members: an instance that knows more others than this tries
-        them less often in proportion. At 600 instances seeds sent 19 KB a
-        second without it, seven times the mean.
+    :param seed_members: an instance that knows more instances than this
+        tries them every ``seed_pause_seconds`` only. At 600 instances seeds
+        sent 19 KB a second without it, seven times the mean.
+    :param seed_pause_seconds: since each does so at another moment, two
+        halves of a fleet that forgot each other meet again far sooner.
     :param silence_seconds: a neighbour silent for so long has no duties:
         three far beacons lost in a row.
     :param hearsay_seconds: the same for instances that are only heard of
@@ -70,6 +72,7 @@
         'push_bytes',
         'rotation_seconds',
         'seed_members',
+        'seed_pause_seconds',
         'seed_seconds',
         'silence_seconds',
         'slow_seconds',
@@ -96,7 +99,8 @@
         slow_seconds: float = 1.0,
         first_seconds: float = 0.015,
         seed_seconds: float = 1.0,
-        seed_members: int = 10,
+        seed_members: int = 12,
+        seed_pause_seconds: float = 30.0,
         silence_seconds: float = 1.2,
         hearsay_seconds: float = 10.0,
         forget_seconds: float = 30.0,
@@ -121,6 +125,7 @@
         self.first_seconds = first_seconds
         self.seed_seconds = seed_seconds
         self.seed_members = seed_members
+        self.seed_pause_seconds = seed_pause_seconds
         self.silence_seconds = silence_seconds
         self.hearsay_seconds = hearsay_seconds
         self.forget_seconds = forget_seconds
--- a/skylarkfold/tests/relay/test_spread.py
+++ b/skylarkfold/tests/relay/test_spread.py
@@ -177,8 +177,8 @@
     def test_a_lost_seed_is_tried_each_second_by_few(self):
         self.assertEqual(20, self.count_approaches(5))
 
-    def test_many_try_no_more_often_than_few_do_together(self):
-        self.assertLessEqual(self.count_approaches(100), 3)
+    def test_one_of_many_tries_it_now_and_then(self):
+        self.assertLessEqual(self.count_approaches(100), 1)
 
 
 class RandomFaultsTest(testtools.TestCase):
