measure token: what a log line costs

Cause: what lines cost a packet was not measured. Change: two kinds more, a new flow with its line written and left out.

--- a/skylarkfold/measure/token.py
+++ b/skylarkfold/measure/token.py
@@ -7,10 +7,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import dataclasses
+import logging
+import os
 import time
 
 from skylarkfold import affinity
+from skylarkfold.forwarder import _lines
+from skylarkfold.forwarder import _own
+from skylarkfold.forwarder import _reporter
 from skylarkfold.platform import _packet
 from skylarkfold.standin.packets import _wire
 
@@ -19,6 +26,10 @@
 _ZONE = 'zone-a'
 _TIMES = 15
 _PACKETS = 2000
+# More than are measured; and how many are written together, as a busy
+# instance does ten times a second.
+_ALL_LINES = 1 << 30
+_FLUSHED_LINES = 50
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +57,13 @@
     :param upstreams: numbers of upstreams.
     :returns: one result a kind and number.
     """
+    with _open_nowhere() as nowhere:
+        return _measure_all(upstreams, nowhere)
+
+
+def _measure_all(
+    upstreams: tuple[int, ...], nowhere: int
+) -> list[TokenResult]:
     results = []
     for count in upstreams:
         known = [_build_upstream(number) for number in range(1, count + 1)]
@@ -54,6 +72,8 @@
             'known flow': _known(known),
             'flow from elsewhere': _moved(known),
             'new flow': _new(known),
+            'new flow, its line written': _logged(known, _ALL_LINES, nowhere),
+            'new flow, its line left out': _logged(known, 0, nowhere),
         }
         least: dict[str, float] = {}
         for _ in range(_TIMES):
@@ -70,6 +90,20 @@
     return results
 
 
+@contextlib.contextmanager
+def _open_nowhere() -> Iterator[int]:
+    """Give a descriptor for lines, and leave the logger as it was."""
+    logger = logging.getLogger(_lines.LOGGER_NAME)
+    before = logger.handlers[:], logger.propagate, logger.level
+    nowhere = os.open(os.devnull, os.O_WRONLY)
+    try:
+        yield nowhere
+    finally:
+        os.close(nowhere)
+        logger.handlers[:], logger.propagate, level = before
+        logger.setLevel(level)
+
+
 def _time(run: Callable[[int], object]) -> float:
     begun = time.perf_counter()
     for number in range(_PACKETS):
@@ -147,3 +181,33 @@
         for caller in range(_PACKETS * _TIMES)
     ]
     return lambda _number: _carry(core, 1.0, data[next(made)])
+
+
+def _logged(
+    known: list[affinity.Upstream], lines_per_second: int, nowhere: int
+) -> Callable[[int], object]:
+    """Place new flows and log each, as the daemon does."""
+    core = _build_core(known)
+    settings = _own.LogSettings(
+        lines_per_second=lines_per_second, burst_lines=lines_per_second
+    )
+    made = iter(range(_PACKETS * _TIMES))
+    data = [
+        _build_packet(caller, _wire.SYN, 0)
+        for caller in range(_PACKETS * _TIMES)
+    ]
+    reporter = _reporter.Reporter('measured', settings)
+    handler = _lines.LineHandler('measured', settings, nowhere)
+    logger = logging.getLogger(_lines.LOGGER_NAME)
+
+    def run(number: int) -> None:
+        logger.handlers[:] = [handler]
+        for wanted in core.take_packet(1.0, _packet.decode(data[next(made)])):
+            if isinstance(wanted, affinity.Forward):
+                _packet.encode_forward(wanted.upstream, wanted.data)
+            elif isinstance(wanted, affinity.Record):
+                reporter.record(wanted)
+        if number % _FLUSHED_LINES == 0:
+            handler.flush()
+
+    return run
