--- a/skylarkfold/report/_journal.py
+++ b/skylarkfold/report/_journal.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from skylarkfold import errors
+from skylarkfold.report import _results
 
 # Days of this kind have no trouble.
 _QUIET = 'quiet'
@@ -73,11 +73,7 @@
     :returns: the entry.
     :raises SettingsError: if it can't be read or is none.
     """
-    try:
-        text = pathlib.Path(path).read_bytes()
-        return msgspec.json.decode(text, type=Entry)
-    except (OSError, msgspec.MsgspecError) as error:
-        raise errors.SettingsError(str(error), str(path)) from error
+    return _results.read_typed(path, Entry)
 
 
 def is_entry(path: str | pathlib.Path) -> bool:
--- a/skylarkfold/report/_results.py
+++ b/skylarkfold/report/_results.py
@@ -7,6 +7,7 @@
 import platform
 import subprocess
 import time
+from typing import TypeVar
 
 import msgspec
 
@@ -18,6 +19,8 @@
 CPU_FILE = pathlib.Path('/proc/cpuinfo')
 GIBIBYTE = 1024**3
 
+_Kind = TypeVar('_Kind')
+
 
 class Measured(msgspec.Struct, frozen=True):
     """What one measure printed in one run.
@@ -53,9 +56,19 @@
     :returns: the results.
     :raises SettingsError: if it can't be read or is none.
     """
+    return read_typed(path, Results)
+
+
+def read_typed(path: str | pathlib.Path, kind: type[_Kind]) -> _Kind:
+    """Read a file of JSON.
+
+    :param path: the file.
+    :param kind: what it must hold.
+    :returns: what it holds.
+    :raises SettingsError: if it can't be read or holds something else.
+    """
     try:
-        text = pathlib.Path(path).read_bytes()
-        return msgspec.json.decode(text, type=Results)
+        return msgspec.json.decode(pathlib.Path(path).read_bytes(), type=kind)
     except (OSError, msgspec.MsgspecError) as error:
         raise errors.SettingsError(str(error), str(path)) from error
 
