New flows wait until the upstreams are known, too

Ruled out: an upstream list that was empty in the store (it came whole, 6 ms later). Change: nothing new is decided before both are known. The flow's hash is worked out once for a first packet. Test: affinity/test_opening, failed before.

--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -245,6 +245,8 @@
         flow = self._flows.get(packet.flow)
         if flow is not None:
             return self._take_copy(now, packet, flow)
+        if not self.is_ready:
+            return self._hold(now, packet, Reason.ROUTE_UNKNOWN)
         route = self._routes.get(packet.address)
         if route is None:
             return self._refuse_route(now, packet)
@@ -256,7 +258,7 @@
             now, service, route, hashed
         ):
             return self._refuse_crowded(now, packet, service)
-        standing = self._choose(now, packet.flow, route, ())
+        standing = self._choose(now, service, hashed, ())
         if standing is None:
             return self._refuse(packet, Reason.NO_UPSTREAM)
         flow = _flow.Flow(packet.flow, standing, now)
@@ -276,7 +278,7 @@
         if route is None:
             return self._refuse_route(now, packet)
         effects = self._health.doubt_opening(now, flow)
-        standing = self._choose(now, flow.key, route, flow.tried)
+        standing = self._choose_again(now, flow, route)
         if standing is None:
             # Every upstream has had it: the last one once more.
             last = flow.standing.upstream
@@ -286,12 +288,10 @@
     def _choose(
         self,
         now: float,
-        key: bytes,
-        route: _route.Route,
+        service: str | None,
+        hashed: int,
         tried: tuple[str, ...],
     ) -> _standing.Standing | None:
-        hashed = _placement.hash_flow(key)
-        service = route.choose_service(hashed)
         if service is None:
             return None
         return _placement.choose_upstream(
@@ -303,6 +303,13 @@
             self._settings,
         )
 
+    def _choose_again(
+        self, now: float, flow: _flow.Flow, route: _route.Route
+    ) -> _standing.Standing | None:
+        hashed = _placement.hash_flow(flow.key)
+        service = route.choose_service(hashed)
+        return self._choose(now, service, hashed, flow.tried)
+
     def _send_first(
         self,
         now: float,
@@ -340,7 +347,7 @@
             route = self._routes.get(flow.key[6:])
             if route is None:
                 continue
-            standing = self._choose(now, flow.key, route, flow.tried)
+            standing = self._choose_again(now, flow, route)
             if standing is not None:
                 effects += self._send_first(
                     now, flow, standing, Reason.PLACED_AGAIN
@@ -412,8 +419,6 @@
     def _refuse_route(
         self, now: float, packet: _packet.Packet
     ) -> list[object]:
-        if not self.is_ready:
-            return self._hold(now, packet, Reason.ROUTE_UNKNOWN)
         # A route may be too new for this instance: only fresh knowledge
         # may say that there is none.
         age = now - self._confirmed_at
--- a/skylarkfold/tests/affinity/test_opening.py
+++ b/skylarkfold/tests/affinity/test_opening.py
@@ -113,6 +113,18 @@
         self.assertTrue(core.is_ready)
         self.assertEqual(1, len(samples.list_forwards(effects)))
 
+    def test_a_flow_waits_while_only_the_routes_are_known(self):
+        # Seen on the users' bench after the end of everything: new flows
+        # were reset in the 6 ms until the upstreams were known.
+        settings = affinity.AffinitySettings()
+        core = affinity.AffinityCore(samples.ZONE, settings)
+        core.set_routes(0.0, samples.build_routes())
+        core.note_confirmed(0.0)
+        self.assertEqual([], core.take_packet(0.1, samples.build_first(1)))
+        upstream = samples.build_upstream(1)
+        effects = core.set_upstreams(0.2, [upstream])
+        self.assertEqual([upstream.name], samples.list_forwards(effects))
+
     def test_routes_never_go_back(self):
         core = samples.build_core(samples.build_upstream(1))
         core.set_routes(0.0, samples.build_routes(version=7))
