--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 from collections.abc import Iterable
 
 from skylarkfold.affinity import _admission
@@ -11,7 +10,9 @@
 from skylarkfold.affinity import _ending
 from skylarkfold.affinity import _flow
 from skylarkfold.affinity import _health
+from skylarkfold.affinity import _held
 from skylarkfold.affinity import _load
+from skylarkfold.affinity import _opening
 from skylarkfold.affinity import _packet
 from skylarkfold.affinity import _placement
 from skylarkfold.affinity import _route
@@ -22,10 +23,6 @@
 
 Reason = _effect.Reason
 
-# What a packet may wait for news of its upstream or route, and how many.
-_HELD_SECONDS = 0.4
-_HELD_PACKETS = 512
-
 
 class AffinityCore:
     """Places new flows, forwards known ones, finds what has failed.
@@ -54,12 +51,10 @@
             self.tally,
         )
         self._peer_loads = _load.PeerLoads(settings, self._directory)
-        self._openings: collections.deque[tuple[float, _flow.Flow]] = (
-            collections.deque()
-        )
-        self._held: collections.deque[tuple[float, _packet.Packet]] = (
-            collections.deque()
+        self._opener = _opening.Opener(
+            zone, settings, self._directory, self._health, self.tally
         )
+        self._held = _held.HeldPackets()
         self._has_upstreams = False
         self._confirmed_at = float('-inf')
         self._next_active = float('-inf')
@@ -236,9 +231,10 @@
             self._flows.rotate_dormant()
             self._directory.forget(now)
         self._peer_loads.expire(now)
-        effects = self._repeat_openings(now)
+        effects = self._opener.repeat(now, self._routes)
         effects += self._health.tick(now)
-        self._expire_held(now)
+        for _ in range(self._held.expire(now)):
+            self.tally.count(_tally.DROPPED, _tally.HELD_TOO_LONG)
         return effects
 
     def _take_first(self, now: float, packet: _packet.Packet) -> list[object]:
@@ -258,7 +254,7 @@
             now, service, route, hashed
         ):
             return self._refuse_crowded(now, packet, service)
-        standing = self._choose(now, service, hashed, ())
+        standing = self._opener.choose(now, service, hashed)
         if standing is None:
             return self._refuse(packet, Reason.NO_UPSTREAM)
         flow = _flow.Flow(packet.flow, standing, now)
@@ -266,7 +262,9 @@
         flow.aim_seconds = route.aim_seconds
         flow.first = packet.data
         self._flows.add(flow)
-        return self._send_first(now, flow, standing, Reason.PLACED)
+        return self._opener.send(
+            now, flow, standing, Reason.PLACED, self._routes.version
+        )
 
     def _take_copy(
         self, now: float, packet: _packet.Packet, flow: _flow.Flow
@@ -277,82 +275,7 @@
         route = self._routes.get(packet.address)
         if route is None:
             return self._refuse_route(now, packet)
-        effects = self._health.doubt_opening(now, flow)
-        standing = self._choose_again(now, flow, route)
-        if standing is None:
-            # Every upstream has had it: the last one once more.
-            last = flow.standing.upstream
-            return [*effects, _effect.Forward(last, packet.data)]
-        return effects + self._send_first(now, flow, standing, Reason.REPEATED)
-
-    def _choose(
-        self,
-        now: float,
-        service: str | None,
-        hashed: int,
-        tried: tuple[str, ...],
-    ) -> _standing.Standing | None:
-        if service is None:
-            return None
-        return _placement.choose_upstream(
-            now,
-            self._directory.list_service(service),
-            self._zone,
-            hashed >> 16,
-            tried,
-            self._settings,
-        )
-
-    def _choose_again(
-        self, now: float, flow: _flow.Flow, route: _route.Route
-    ) -> _standing.Standing | None:
-        hashed = _placement.hash_flow(flow.key)
-        service = route.choose_service(hashed)
-        return self._choose(now, service, hashed, flow.tried)
-
-    def _send_first(
-        self,
-        now: float,
-        flow: _flow.Flow,
-        standing: _standing.Standing,
-        reason: str,
-    ) -> list[object]:
-        _flow.count_in(flow, standing)
-        flow.placed_at = now
-        flow.tried = (*flow.tried, standing.upstream.name)
-        due = now + self._settings.open_patience_seconds
-        self._openings.append((due, flow))
-        self.tally.count(_tally.OPENED, reason)
-        details = {
-            'version': self._routes.version,
-            'load': standing.load,
-            'health': standing.health,
-            'try': len(flow.tried),
-        }
-        name = standing.upstream.name
-        return [
-            _effect.Record('open', reason, flow.key, name, details),
-            _effect.Forward(standing.upstream, flow.first),
-        ]
-
-    def _repeat_openings(self, now: float) -> list[object]:
-        effects: list[object] = []
-        while self._openings and self._openings[0][0] <= now:
-            _, flow = self._openings.popleft()
-            if flow.is_open or flow.is_closed:
-                continue
-            effects += self._health.doubt_opening(now, flow)
-            if len(flow.tried) >= self._settings.open_tries:
-                continue
-            route = self._routes.get(flow.key[6:])
-            if route is None:
-                continue
-            standing = self._choose_again(now, flow, route)
-            if standing is not None:
-                effects += self._send_first(
-                    now, flow, standing, Reason.PLACED_AGAIN
-                )
-        return effects
+        return self._opener.take_copy(now, flow, packet, self._routes)
 
     def _bind(
         self, now: float, packet: _packet.Packet, flow: _flow.Flow | None
@@ -453,27 +376,19 @@
     def _hold(
         self, now: float, packet: _packet.Packet, reason: str
     ) -> list[object]:
-        if len(self._held) >= _HELD_PACKETS:
+        if not self._held.add(now, packet):
             return self._drop(reason)
         self.tally.count(_tally.HELD, reason)
-        self._held.append((now + _HELD_SECONDS, packet))
         return []
 
     def _release(self, now: float) -> list[object]:
-        if not self.is_ready or not self._held:
+        if not self.is_ready:
             return []
-        held, self._held = self._held, collections.deque()
         effects: list[object] = []
-        for until, packet in held:
-            if now <= until:
-                effects += self.take_packet(now, packet)
+        for packet in self._held.release(now):
+            effects += self.take_packet(now, packet)
         return effects
 
-    def _expire_held(self, now: float) -> None:
-        while self._held and self._held[0][0] < now:
-            self._held.popleft()
-            self.tally.count(_tally.DROPPED, _tally.HELD_TOO_LONG)
-
 
 def _record_change(
     standing: _standing.Standing, change: str
--- /dev/null
+++ b/skylarkfold/affinity/_opening.py
@@ -0,0 +1,173 @@
+"""New flows, from their first packet until an upstream answers."""
+
+from __future__ import annotations
+
+import collections
+
+from skylarkfold.affinity import _directory
+from skylarkfold.affinity import _effect
+from skylarkfold.affinity import _flow
+from skylarkfold.affinity import _health
+from skylarkfold.affinity import _packet
+from skylarkfold.affinity import _placement
+from skylarkfold.affinity import _route
+from skylarkfold.affinity import _settings
+from skylarkfold.affinity import _standing
+from skylarkfold.affinity import _tally
+
+Reason = _effect.Reason
+
+
+class Opener:
+    """Sends first packets to upstreams until one of them answers.
+
+    :param zone: this instance's availability zone.
+    :param settings: the limits.
+    :param directory: all upstreams.
+    :param health: told of first packets that are not answered.
+    :param tally: where flows are counted.
+    """
+
+    __slots__ = (
+        '_directory',
+        '_health',
+        '_settings',
+        '_tally',
+        '_waiting',
+        '_zone',
+    )
+
+    def __init__(
+        self,
+        zone: str,
+        settings: _settings.AffinitySettings,
+        directory: _directory.Directory,
+        health: _health.HealthWatch,
+        tally: _tally.Tally,
+    ) -> None:
+        self._zone = zone
+        self._settings = settings
+        self._directory = directory
+        self._health = health
+        self._tally = tally
+        self._waiting: collections.deque[tuple[float, _flow.Flow]] = (
+            collections.deque()
+        )
+
+    def choose(
+        self,
+        now: float,
+        service: str | None,
+        hashed: int,
+        tried: tuple[str, ...] = (),
+    ) -> _standing.Standing | None:
+        """Choose an upstream for a new flow.
+
+        :param now: the time.
+        :param service: its service; None where its route has none.
+        :param hashed: the flow's hash.
+        :param tried: names of upstreams that got the packet before.
+        :returns: the upstream, None where there is none to try.
+        """
+        if service is None:
+            return None
+        return _placement.choose_upstream(
+            now,
+            self._directory.list_service(service),
+            self._zone,
+            hashed >> 16,
+            tried,
+            self._settings,
+        )
+
+    def send(
+        self,
+        now: float,
+        flow: _flow.Flow,
+        standing: _standing.Standing,
+        reason: str,
+        version: int,
+    ) -> list[object]:
+        """Send a flow's first packet to an upstream.
+
+        :param now: the time.
+        :param flow: the flow.
+        :param standing: the upstream.
+        :param reason: why it was chosen.
+        :param version: of the routes that led to it.
+        :returns: effects.
+        """
+        _flow.count_in(flow, standing)
+        flow.placed_at = now
+        flow.tried = (*flow.tried, standing.upstream.name)
+        due = now + self._settings.open_patience_seconds
+        self._waiting.append((due, flow))
+        self._tally.count(_tally.OPENED, reason)
+        details = {
+            'version': version,
+            'load': standing.load,
+            'health': standing.health,
+            'try': len(flow.tried),
+        }
+        name = standing.upstream.name
+        return [
+            _effect.Record('open', reason, flow.key, name, details),
+            _effect.Forward(standing.upstream, flow.first),
+        ]
+
+    def take_copy(
+        self,
+        now: float,
+        flow: _flow.Flow,
+        packet: _packet.Packet,
+        routes: _route.RouteTable,
+    ) -> list[object]:
+        """Take a caller's copy of a first packet that was not answered.
+
+        :param now: the time.
+        :param flow: its flow.
+        :param packet: the copy.
+        :param routes: the routes in force.
+        :returns: effects.
+        """
+        effects = self._health.doubt_opening(now, flow)
+        standing = self._choose_again(now, flow, routes)
+        if standing is None:
+            # Every upstream has had it: the last one once more.
+            last = flow.standing.upstream
+            return [*effects, _effect.Forward(last, packet.data)]
+        return effects + self.send(
+            now, flow, standing, Reason.REPEATED, routes.version
+        )
+
+    def repeat(self, now: float, routes: _route.RouteTable) -> list[object]:
+        """Send what was not answered in time to another upstream.
+
+        :param now: the time.
+        :param routes: the routes in force.
+        :returns: effects.
+        """
+        effects: list[object] = []
+        while self._waiting and self._waiting[0][0] <= now:
+            _, flow = self._waiting.popleft()
+            if flow.is_open or flow.is_closed:
+                continue
+            effects += self._health.doubt_opening(now, flow)
+            if len(flow.tried) >= self._settings.open_tries:
+                continue
+            standing = self._choose_again(now, flow, routes)
+            if standing is not None:
+                effects += self.send(
+                    now, flow, standing, Reason.PLACED_AGAIN, routes.version
+                )
+        return effects
+
+    def _choose_again(
+        self, now: float, flow: _flow.Flow, routes: _route.RouteTable
+    ) -> _standing.Standing | None:
+        route = routes.get(_packet.get_address(flow.key))
+        if route is None:
+            return None
+        hashed = _placement.hash_flow(flow.key)
+        service = route.choose_service(hashed)
+        return self.choose(now, service, hashed, flow.tried)
--- a/skylarkfold/affinity/_packet.py
+++ b/skylarkfold/affinity/_packet.py
@@ -62,6 +62,15 @@
         return self.flow[_CALLER_BYTES:]
 
 
+def get_address(flow: bytes) -> bytes:
+    """Get the service's address of a packed flow.
+
+    :param flow: as in :attr:`Packet.flow`.
+    :returns: the address and port that its caller sends to, packed.
+    """
+    return flow[_CALLER_BYTES:]
+
+
 def pack_address(host: str, port: int) -> bytes:
     """Pack an address and port as they stand in :attr:`Packet.address`.
 
