Views meet again within five seconds, whatever happened

Other zones heard of a lost head by its age only (10 s); a neighbour that was never met was not lost by its silence; after a start of all, instances that know more than 12 others tried lost seeds at the same moment, every 30 s. Change: a zone tells the others whom of its own it lost; a neighbour's silence counts from when it became one; the pause of seeds differs between instances and tries (3 to 57 s), and delegates try the last known instances of a zone of which nobody is left each second. Test: relay/test_peers, random changes.

--- a/skylarkfold/relay/_announcer.py
+++ b/skylarkfold/relay/_announcer.py
@@ -148,7 +148,7 @@
             ]
         beacon = self.build(now, loads=tuple(loads), hearsay=hearsay)
         beacon.ages = ages
-        beacon.silent = self._peers.gossip.list_silent(now)
+        beacon.silent = self._peers.gossip.list_silent(now, is_near=True)
         return [_effect.SendBeacon(hosts, beacon)]
 
     def send_far(self, now: float) -> list[object]:
@@ -169,20 +169,20 @@
             report = _messages.LoadReport(self._own.zone, True, 0.0, flows)
             loads = (report,)
         beacon = self.build(now, loads=loads, hearsay=hearsay)
+        beacon.silent = self._peers.gossip.list_silent(now, is_near=False)
         return [_effect.SendBeacon(hosts, beacon)]
 
-    def approach(self, now: float) -> list[object]:
-        """Ask at seeds that nobody known has.
+    def approach(self, now: float, hosts: list[str]) -> list[object]:
+        """Ask at hosts that nothing is heard of.
 
         :param now: the time.
+        :param hosts: the hosts; this instance's own is left out.
         :returns: effects.
         """
-        hosts = self._peers.list_lost_seeds()
-        if self._own.host in hosts:
-            hosts.remove(self._own.host)
-        if not hosts:
+        others = [host for host in hosts if host != self._own.host]
+        if not others:
             return []
-        return [_effect.SendBeacon(hosts, self.build(now, is_asking=True))]
+        return [_effect.SendBeacon(others, self.build(now, is_asking=True))]
 
     def take_loads(self, now: float, beacon: _messages.Beacon) -> list[object]:
         """Take the loads that a peer tells.
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -15,6 +15,10 @@
 from skylarkfold.relay import _topic
 
 _NEVER = float('-inf')
+# Pauses differ by these shares, so that some of a zone's instances soon try
+# after a cut, however they were started.
+_LEAST_SPREAD = 0.1
+_MOST_SPREAD = 1.9
 
 
 class RelayCore:
@@ -42,7 +46,7 @@
         self._settings = settings
         self._own = _peer.Peer(name, zone, host, capacity)
         self._peers = _peers.PeerTable(self._own, settings)
-        jitter = backoff.HashJitter(sum(name.encode()))
+        jitter = self._jitter = backoff.HashJitter(self._own.digest)
         self._topics = [
             _topic.Topic(
                 topic,
@@ -61,6 +65,7 @@
         self._next_near = _NEVER
         self._next_far = _NEVER
         self._next_seeds = _NEVER
+        self._next_lost = _NEVER
 
     @property
     def peers(self) -> _peers.PeerTable:
@@ -131,7 +136,12 @@
             effects += self._announcer.send_far(now)
         if now >= self._next_seeds:
             self._next_seeds = now + self._compute_seed_pause()
-            effects += self._announcer.approach(now)
+            lost = self._peers.list_lost_seeds()
+            effects += self._announcer.approach(now, lost)
+        if now >= self._next_lost:
+            self._next_lost = now + self._settings.seed_seconds
+            lost = self._peers.list_lost_zones()
+            effects += self._announcer.approach(now, lost)
         return effects + self._ask(now)
 
     def take_answer(
@@ -275,7 +285,9 @@
         """
         settings = self._settings
         if len(self._peers.members) > settings.seed_members:
-            return settings.seed_pause_seconds
+            # All may have started at the same moment.
+            spread = self._jitter.uniform(_LEAST_SPREAD, _MOST_SPREAD)
+            return spread * settings.seed_pause_seconds
         return settings.seed_seconds
 
     def _ask(self, now: float) -> list[object]:
--- a/skylarkfold/relay/_gossip.py
+++ b/skylarkfold/relay/_gossip.py
@@ -23,8 +23,8 @@
 # How often a name that is new is told to the neighbours: once more than
 # needed, as a packet may be lost.
 _FRESH_TELLS = 2
-# How many beacons in a row tell of an instance that fell silent: they come
-# five times a second.
+# How many beacons in a row tell of an instance that fell silent; one of
+# them may be lost.
 _SILENT_TELLS = 3
 # Other zones are told of so many instances: the delegates, and the next.
 _HEADS = overlay.DELEGATES + 1
@@ -37,7 +37,14 @@
     :param members: all instances that are known, by name.
     """
 
-    __slots__ = ('_fresh', '_next', '_own', '_silent', 'members')
+    __slots__ = (
+        '_fresh',
+        '_next',
+        '_own',
+        '_silent_far',
+        '_silent_near',
+        'members',
+    )
 
     def __init__(
         self, own: _peer.Peer, members: dict[str, _peer.Peer]
@@ -47,7 +54,8 @@
         self._next = 0
         # How often each is still to be told of, by name.
         self._fresh: dict[str, int] = {}
-        self._silent: dict[str, int] = {}
+        self._silent_near: dict[str, int] = {}
+        self._silent_far: dict[str, int] = {}
 
     def note_new(self, peer: _peer.Peer) -> None:
         """Note an instance that was not known.
@@ -57,12 +65,15 @@
         self._fresh[peer.name] = _FRESH_TELLS
 
     def note_silent(self, peer: _peer.Peer) -> None:
-        """Note an instance of this zone that was found silent.
+        """Note an instance that was found silent.
 
         :param peer: the instance.
         """
+        self._silent_near[peer.name] = _SILENT_TELLS
         if peer.zone == self._own.zone:
-            self._silent[peer.name] = _SILENT_TELLS
+            # Of other zones, only they themselves can tell others: a cut
+            # between two zones is no matter to a third.
+            self._silent_far[peer.name] = _SILENT_TELLS
 
     def list_ages(self, now: float) -> dict[int, float]:
         """List when instances were last heard by anyone.
@@ -73,22 +84,24 @@
         """
         return {peer.digest: now - peer.heard_at for peer in self._list_told()}
 
-    def list_silent(self, now: float) -> dict[int, float]:
-        """List instances of this zone that have just fallen silent.
+    def list_silent(self, now: float, is_near: bool) -> dict[int, float]:
+        """List instances that have just fallen silent.
 
         :param now: the time.
+        :param is_near: for this zone, or for others.
         :returns: how many seconds ago each was last heard, by the digest
             of its name; each some times in a row.
         """
+        silent = self._silent_near if is_near else self._silent_far
         found: dict[int, float] = {}
-        for name, tells in list(self._silent.items()):
+        for name, tells in list(silent.items()):
             peer = self.members.get(name)
             if peer is not None and not peer.is_reachable:
                 found[peer.digest] = now - peer.heard_at
             if tells > 1:
-                self._silent[name] = tells - 1
+                silent[name] = tells - 1
             else:
-                del self._silent[name]
+                del silent[name]
         return found
 
     def choose_hearsay(self, now: float) -> tuple[_messages.Hearsay, ...]:
--- a/skylarkfold/relay/_peer.py
+++ b/skylarkfold/relay/_peer.py
@@ -16,6 +16,7 @@
     :ivar digest: what stands for its name in short messages.
     :ivar heard_at: when a beacon of it last came, here or at others.
     :ivar met_at: when a beacon of it last came here.
+    :ivar near_since: when it became a neighbour; None for one that is none.
     :ivar back_at: when it was first heard after a silence.
     :ivar positions: what it last said to know, by topic.
     :ivar flows: what it last said to carry, by token.
@@ -36,6 +37,7 @@
         'lost_at',
         'met_at',
         'name',
+        'near_since',
         'positions',
         'told_at',
         'zone',
@@ -49,6 +51,7 @@
         self.digest = xxhash.xxh32_intdigest(name.encode())
         self.heard_at = _NEVER
         self.met_at = _NEVER
+        self.near_since: float | None = None
         self.back_at = _NEVER
         self.positions: tuple[_messages.Position, ...] = ()
         self.flows: dict[int, int] = {}
--- a/skylarkfold/relay/_peers.py
+++ b/skylarkfold/relay/_peers.py
@@ -147,7 +147,11 @@
                 self._by_digest.pop(peer.digest, None)
                 self._note_change(peer)
                 continue
-            is_reachable = self._is_there(now, peer, name in neighbours)
+            if name not in neighbours:
+                peer.near_since = None
+            elif peer.near_since is None:
+                peer.near_since = now
+            is_reachable = self._is_there(now, peer)
             if peer.is_reachable and not is_reachable:
                 self._lose(peer)
             elif is_reachable and not peer.is_reachable:
@@ -155,7 +159,7 @@
                 peer.back_at = now
                 self._note_change(peer)
 
-    def _is_there(self, now: float, peer: _peer.Peer, is_near: bool) -> bool:
+    def _is_there(self, now: float, peer: _peer.Peer) -> bool:
         settings = self._settings
         quiet = self._measure_quiet(now, peer)
         if quiet > settings.hearsay_seconds:
@@ -163,13 +167,14 @@
         if not peer.is_reachable:
             # The last that others heard of it may be a little later.
             return peer.heard_at > peer.lost_at + settings.silence_seconds
-        if quiet <= settings.silence_seconds or not is_near:
+        if peer.near_since is None:
             return True
-        if peer.met_at == _NEVER:
+        since = max(peer.met_at, peer.near_since)
+        if min(quiet, now - since) <= settings.silence_seconds:
             return True
-        # A neighbour's silence counts unless others hear it still: then it
-        # has other neighbours by what it knows.
-        return peer.heard_at - peer.met_at > settings.silence_seconds
+        # A neighbour that lives answers, as it is sent beacons. Its silence
+        # counts unless others hear it still.
+        return peer.heard_at - since > settings.silence_seconds
 
     def restart(self, now: float) -> None:
         """Give everyone time to be heard again after a pause.
@@ -260,6 +265,24 @@
         }
         return [host for host in self._seeds if host not in known]
 
+    def list_lost_zones(self) -> list[str]:
+        """List where zones of which nobody is reachable may be found.
+
+        :returns: hosts, until they are forgotten; none unless this
+            instance is one that keeps links to other zones.
+        """
+        if self.compute_rank() >= overlay.DELEGATES:
+            return []
+        zones: dict[str, list[_peer.Peer]] = {}
+        for peer in self.members.values():
+            zones.setdefault(peer.zone, []).append(peer)
+        hosts = []
+        for peers in zones.values():
+            if not any(peer.is_reachable for peer in peers):
+                latest = sorted(peers, key=lambda peer: -peer.heard_at)
+                hosts += [peer.host for peer in latest[: overlay.DELEGATES]]
+        return hosts
+
     def must_tell(self, now: float, peer: _peer.Peer) -> bool:
         """Tell whether one that sends beacons here seems to know too few.
 
--- a/skylarkfold/relay/_settings.py
+++ b/skylarkfold/relay/_settings.py
@@ -32,7 +32,8 @@
     :param slow_seconds: how often names and the loads of zones are added.
     :param first_seconds: how long a new instance waits for a peer to
         answer before it asks the store; peers answer within 10 ms.
-    :param seed_seconds: how often seeds that nobody known has are tried.
+    :param seed_seconds: how often seeds that nobody known has are tried,
+        and instances of zones that were lost.
     :param seed_members: an instance that knows more instances than this
         tries them every ``seed_pause_seconds`` only. At 600 instances seeds
         sent 19 KB a second without it, seven times the mean.
--- a/skylarkfold/tests/relay/test_peers.py
+++ b/skylarkfold/tests/relay/test_peers.py
@@ -1,5 +1,9 @@
 """Tests of what instances know of one another."""
 
+import random
+
+import hypothesis
+from hypothesis import strategies
 import testtools
 
 from skylarkfold.measure import _relay_fleet as fleet_module
@@ -128,3 +132,79 @@
         core.tick(6.0)
         core.tick(6.5)
         self.assertFalse(core.peers.members['two'].is_reachable)
+
+
+class RandomChangesTest(testtools.TestCase):
+    """Whatever happened, five calm seconds later all agree again."""
+
+    ACTIONS = ('end', 'start', 'restart', 'cut', 'loss', 'heal', 'all')
+
+    @hypothesis.given(
+        strategies.sampled_from((5, 12, 24)),
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(ACTIONS),
+                strategies.integers(0, 2**16),
+                strategies.sampled_from((0.05, 0.5, 2.0, 6.0)),
+            ),
+            min_size=1,
+            max_size=8,
+        ),
+    )
+    @hypothesis.settings(max_examples=40, deadline=None)
+    def test_views_meet_again(self, size, steps):
+        fleet = fleet_module.Fleet(
+            tuple(ZONES[number % len(ZONES)] for number in range(size))
+        )
+        fleet.store.put('routes', 'main', {'version': 1})
+        fleet.run(3.0)
+        for action, drawn, seconds in steps:
+            self.perform(fleet, action, drawn)
+            fleet.run(seconds)
+        fleet.cut = lambda one, other: False
+        fleet.run(5.0)
+        for _ in range(2):
+            for name, core in fleet.cores.items():
+                self.check_view(fleet, name, core)
+            # Names that are still told don't spoil it later.
+            fleet.run(10.0)
+
+    def perform(self, fleet, action, drawn):
+        names = sorted(fleet.cores)
+        name = names[drawn % len(names)]
+        zone = ZONES[drawn % len(ZONES)]
+        if action == 'end' and len(names) > len(ZONES):
+            fleet.end(name)
+        elif action == 'start':
+            fleet.start(f'new-{drawn}', zone)
+        elif action == 'restart':
+            fleet.end(name)
+            fleet.run(drawn % 5 + 0.3)
+            fleet.start(name, fleet.zones[name])
+        elif action == 'cut':
+            inside = {each for each in names if fleet.zones[each] == zone}
+            fleet.cut = lambda one, other: (one in inside) != (other in inside)
+        elif action == 'loss':
+            generator = random.Random(drawn)
+            fleet.cut = lambda one, other: generator.random() < 0.05
+        elif action == 'heal':
+            fleet.cut = lambda one, other: False
+        elif action == 'all':
+            for each in names:
+                fleet.end(each)
+            fleet.run(0.5)
+            for each in names:
+                fleet.start(each, fleet.zones[each])
+
+    def check_view(self, fleet, name, core):
+        zone = fleet.zones[name]
+        mates = {
+            each.name
+            for each in core.peers.members.values()
+            if each.zone == zone and each.is_reachable
+        }
+        there = {each for each in fleet.cores if fleet.zones[each] == zone}
+        self.assertEqual(there, mates, f'{name} at {fleet.now}')
+        for other in core.peers.list_neighbours():
+            theirs = fleet.cores[other].peers.list_neighbours()
+            self.assertIn(name, theirs, f'{other} at {fleet.now}')
