skylarkfold timeline: what happened to a fleet, in a few lines

Ruled out: fewer lines, since each instance's belief is its own and is what its decisions rest on. Change: lines of one kind within a second of one another are one entry, with the instances and upstreams that it names, on clocks set against each other; ordinary work is left out. The command line no longer prints the exit status of a command, and a reader that has enough is no failure.

--- a/skylarkfold/_commands.py
+++ b/skylarkfold/_commands.py
@@ -20,6 +20,18 @@
     return pathlib.Path(str(file)).stem
 
 
+def _read_logs(paths: tuple[str, ...]) -> list[object]:
+    if not paths:
+        raise errors.UsageError('no log file is named')
+    lines: list[object] = []
+    for path in paths:
+        text = _load('_operators').read_file(str(path))
+        lines += _load('explain').read_lines(
+            text.decode(errors='replace').split('\n')
+        )
+    return lines
+
+
 def _identify(
     identity: str, platform: str, team: str, operator: str
 ) -> object:
@@ -259,19 +271,26 @@
             in one.
         :returns: 1 if no line names the flow.
         """
-        if not logs:
-            raise errors.UsageError('no log file is named')
         explain = _load('explain')
-        lines: list[object] = []
-        for path in logs:
-            text = _load('_operators').read_file(str(path))
-            lines += explain.read_lines(
-                text.decode(errors='replace').split('\n')
-            )
-        story = explain.tell(str(flow), lines)
+        story = explain.tell(str(flow), _read_logs(logs))
         print(explain.format_story(story), end='')
         return 0 if story.events else 1
 
+    def timeline(self, *logs: str) -> int:
+        """Tell what happened to a fleet from the logs of its instances.
+
+        What many instances found out at the same time is one line. Times
+        count from the first one.
+
+        :param logs: the log files; the lines of several instances may be
+            in one.
+        :returns: 1 if nothing but ordinary work was logged.
+        """
+        explain = _load('explain')
+        entries = explain.list_entries(_read_logs(logs))
+        print(explain.format_entries(entries), end='')
+        return 0 if entries else 1
+
     def platform_standin(self, host: str = '127.0.0.1', port: int = 0) -> None:
         """Stand in for the platform's object API, for tests and benches.
 
--- a/skylarkfold/cli.py
+++ b/skylarkfold/cli.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 
 import fire
@@ -39,13 +40,25 @@
     return EXIT_FAILED
 
 
+def _hide_status(result: object) -> object:
+    """Keep a command's exit status from being printed."""
+    return None if isinstance(result, int) else result
+
+
 def main() -> None:
     """Run the command that the arguments name."""
     try:
-        status = fire.Fire(_commands.Commands, name='skylarkfold')
+        status = fire.Fire(
+            _commands.Commands, name='skylarkfold', serialize=_hide_status
+        )
     except errors.SkylarkfoldError as error:
         print(error, file=sys.stderr)
         sys.exit(find_exit_status(error))
     except KeyboardInterrupt:
         sys.exit(EXIT_FAILED)
+    except BrokenPipeError:
+        # Who reads, ``head`` say, has enough; nothing is left to be flushed
+        # at the end.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(0)
     sys.exit(status if isinstance(status, int) else 0)
--- /dev/null
+++ b/skylarkfold/explain/_timeline.py
@@ -0,0 +1,118 @@
+"""What happened to a fleet, in a few lines.
+
+What many instances found out at the same time is one entry: a verdict on
+each of 78 instances, or a restart of all of them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from skylarkfold.explain import _clocks
+from skylarkfold.explain import _line
+
+# Lines of a kind that follow one another within this belong together: what
+# all instances see, they see within a second.
+_GAP_SECONDS = 1.0
+# Written all the time, whatever happens.
+_ORDINARY = frozenset({'open', 'known', 'counters'})
+_SHOWN_NAMES = 3
+
+
+class Entry:
+    """Lines of one kind that were written at about the same time.
+
+    :param kind: what they have in common: the message, its reason and what
+        else tells causes apart.
+    :param at: when the first was written, on the reference clock.
+    :ivar until: when the last was written.
+    :ivar count: how many there are.
+    :ivar instances: who wrote them.
+    :ivar subjects: the upstreams or dependencies that they name.
+    """
+
+    __slots__ = ('at', 'count', 'instances', 'kind', 'subjects', 'until')
+
+    def __init__(self, kind: tuple[str, ...], at: float) -> None:
+        self.kind = kind
+        self.at = at
+        self.until = at
+        self.count = 0
+        self.instances: dict[str, None] = {}
+        self.subjects: dict[str, None] = {}
+
+    def add(self, at: float, line: _line.Line) -> None:
+        """Add a line.
+
+        :param at: when it was written.
+        :param line: the line.
+        """
+        self.until = at
+        self.count += 1
+        self.instances[line.instance] = None
+        subject = line.get('upstream') or line.get('name')
+        if subject:
+            self.subjects[subject] = None
+
+
+def list_entries(lines: Iterable[_line.Line]) -> list[Entry]:
+    """Put the lines of a fleet together.
+
+    :param lines: the lines of all instances.
+    :returns: entries in the order in which they began.
+    """
+    known = list(lines)
+    _, clocks = _clocks.align(known)
+    timed = [
+        (line.time - clocks[line.instance].offset, line)
+        for line in known
+        if line.message not in _ORDINARY
+    ]
+    timed.sort(key=lambda each: (each[0], each[1].place))
+    entries: list[Entry] = []
+    latest: dict[tuple[str, ...], Entry] = {}
+    for at, line in timed:
+        kind = _find_kind(line)
+        entry = latest.get(kind)
+        if entry is None or at - entry.until > _GAP_SECONDS:
+            entry = latest[kind] = Entry(kind, at)
+            entries.append(entry)
+        entry.add(at, line)
+    return entries
+
+
+def format_entries(entries: list[Entry], begin: float | None = None) -> str:
+    """Write entries.
+
+    :param entries: the entries.
+    :param begin: the time that is written as 0; that of the first entry
+        where left out.
+    :returns: lines of text.
+    """
+    if not entries:
+        return 'no line tells of more than ordinary work\n'
+    zero = entries[0].at if begin is None else begin
+    return ''.join(_format(each, zero) for each in entries)
+
+
+def _find_kind(line: _line.Line) -> tuple[str, ...]:
+    names = ('reason', 'probe', 'cause')
+    details = [line.get(name) for name in names if line.get(name)]
+    return (line.message, *details)
+
+
+def _format(entry: Entry, zero: float) -> str:
+    span = f'{entry.at - zero:9.2f}'
+    if entry.until > entry.at:
+        span += f' to {entry.until - zero:.2f}'
+    text = f'{span} s  {" ".join(entry.kind)}: '
+    if entry.subjects:
+        text += f'{_list_names(entry.subjects)}; '
+    lines = 'line' if entry.count == 1 else 'lines'
+    return f'{text}{entry.count} {lines} of {_list_names(entry.instances)}\n'
+
+
+def _list_names(names: dict[str, None]) -> str:
+    first = ', '.join(list(names)[:_SHOWN_NAMES])
+    rest = len(names) - _SHOWN_NAMES
+    return f'{first} and {rest} more' if rest > 0 else first
--- /dev/null
+++ b/skylarkfold/tests/explain/test_timeline.py
@@ -0,0 +1,105 @@
+"""Tests of a fleet's timeline."""
+
+import io
+import json
+import pathlib
+import tempfile
+from unittest import mock
+
+import testtools
+
+from skylarkfold import _commands
+from skylarkfold import errors
+from skylarkfold import explain
+
+
+def write(time, instance, message, **fields):
+    line = {
+        'time': time,
+        'level': 'info',
+        'instance': instance,
+        'message': message,
+        **fields,
+    }
+    return json.dumps(line)
+
+
+def build_crash(instances, at=100.0, offset=0.0):
+    """Lines of instances that all find the same upstream gone."""
+    return [
+        write(
+            at + number / 50 + offset,
+            f'n-{number}',
+            'health',
+            reason='out-of-reach',
+            upstream='u-1',
+            probe='refused',
+        )
+        for number in range(instances)
+    ]
+
+
+class TimelineTest(testtools.TestCase):
+    def list_entries(self, texts):
+        return explain.list_entries(list(explain.read_lines(texts)))
+
+    def test_what_all_find_out_is_one_entry(self):
+        (entry,) = self.list_entries(build_crash(40))
+        self.assertEqual(('health', 'out-of-reach', 'refused'), entry.kind)
+        self.assertEqual(40, entry.count)
+        self.assertEqual(40, len(entry.instances))
+        self.assertEqual(['u-1'], list(entry.subjects))
+        self.assertAlmostEqual(0.78, entry.until - entry.at)
+
+    def test_the_same_again_later_is_another(self):
+        entries = self.list_entries(build_crash(3) + build_crash(3, at=105.0))
+        self.assertEqual([3, 3], [each.count for each in entries])
+
+    def test_kinds_are_told_apart_by_their_cause(self):
+        lost = dict(reason='lost', name='store/config')
+        entries = self.list_entries(
+            [
+                write(1.0, 'a', 'dependency', cause='busy', **lost),
+                write(1.1, 'b', 'dependency', cause='timeout', **lost),
+                write(1.2, 'c', 'dependency', cause='busy', **lost),
+            ]
+        )
+        self.assertEqual([2, 1], [each.count for each in entries])
+
+    def test_ordinary_work_is_left_out(self):
+        texts = [
+            write(1.0, 'a', 'open', reason='placed', upstream='u-1'),
+            write(1.1, 'a', 'known', topic='t', revision=3),
+            write(1.2, 'a', 'counters', opened=3),
+            'no line of ours',
+        ]
+        self.assertEqual([], self.list_entries(texts))
+        text = explain.format_entries([])
+        self.assertIn('ordinary', text)
+
+    def test_clocks_that_differ_are_set(self):
+        # The second instance's clock is an hour ahead.
+        texts = [
+            write(100.0, 'n-0', 'known', topic='t', revision=1),
+            write(3700.0, 'n-1', 'known', topic='t', revision=1),
+            write(101.0, 'n-0', 'started', zone='z'),
+            write(3701.2, 'n-1', 'started', zone='z'),
+        ]
+        (entry,) = self.list_entries(texts)
+        self.assertEqual(2, entry.count)
+
+    def test_the_command_prints_one_line_an_entry(self):
+        with tempfile.TemporaryDirectory() as scratch:
+            path = pathlib.Path(scratch) / 'log'
+            path.write_text('\n'.join(build_crash(40)))
+            with mock.patch('sys.stdout', new_callable=io.StringIO) as out:
+                status = _commands.Commands().timeline(str(path))
+        self.assertEqual(0, status)
+        self.assertEqual(
+            '     0.00 to 0.78 s  health out-of-reach refused: u-1; 40 lines'
+            ' of n-0, n-1, n-2 and 37 more\n',
+            out.getvalue(),
+        )
+
+    def test_a_log_must_be_named(self):
+        self.assertRaises(errors.UsageError, _commands.Commands().timeline)
