--- a/skylarkfold/relay/__init__.py
+++ b/skylarkfold/relay/__init__.py
@@ -8,6 +8,12 @@
 from skylarkfold.relay._call import Answer
 from skylarkfold.relay._call import Call
 from skylarkfold.relay._call import Status
+from skylarkfold.relay._codec import decode_beacon
+from skylarkfold.relay._codec import decode_fetch
+from skylarkfold.relay._codec import decode_page
+from skylarkfold.relay._codec import encode_beacon
+from skylarkfold.relay._codec import encode_fetch
+from skylarkfold.relay._codec import encode_page
 from skylarkfold.relay._core import RelayCore
 from skylarkfold.relay._effect import CallStore
 from skylarkfold.relay._effect import Changed
@@ -20,12 +26,6 @@
 from skylarkfold.relay._effect import TellHeard
 from skylarkfold.relay._item import Item
 from skylarkfold.relay._messages import Beacon
-from skylarkfold.relay._messages import decode_beacon
-from skylarkfold.relay._messages import decode_fetch
-from skylarkfold.relay._messages import decode_page
-from skylarkfold.relay._messages import encode_beacon
-from skylarkfold.relay._messages import encode_fetch
-from skylarkfold.relay._messages import encode_page
 from skylarkfold.relay._messages import Page
 from skylarkfold.relay._messages import Position
 from skylarkfold.relay._settings import RelaySettings
--- a/skylarkfold/relay/_announcer.py
+++ b/skylarkfold/relay/_announcer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from skylarkfold.relay import _codec
 from skylarkfold.relay import _effect
 from skylarkfold.relay import _item
 from skylarkfold.relay import _messages
@@ -110,7 +111,7 @@
         if not hosts:
             return []
         news = None
-        if _messages.measure(changed) <= self._settings.push_bytes:
+        if _codec.measure(changed) <= self._settings.push_bytes:
             news = _messages.News(topic.number, base, tuple(changed))
         return [_effect.SendBeacon(hosts, self.build(now, news))]
 
--- /dev/null
+++ b/skylarkfold/relay/_codec.py
@@ -0,0 +1,319 @@
+"""The bytes of messages between instances.
+
+Beacons go by datagram, fetches by stream: MessagePack arrays that begin with
+the version of the format. Numbers are bounded. What can't be read raises
+:class:`skylarkfold.errors.DecodeError`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import math
+import struct
+import zlib
+
+import msgpack
+
+from skylarkfold import errors
+from skylarkfold.relay import _item
+from skylarkfold.relay import _messages
+
+_VERSION = 2
+_MOST_NUMBER = 1 << 62
+_MOST_LIST = 4096
+_NEVER_MILLISECONDS = -1
+# A page of 3,800 upstreams is 1 MB before it is packed.
+MAXIMUM_PAGE_BYTES = 16 * 1024 * 1024
+
+# An age: the digest of a name, and tenths of a second in one byte, since
+# every instance of a zone is told of several times a second.
+_AGE = struct.Struct('!IB')
+_AGE_STEPS = 10
+_MOST_AGE = 255
+
+_IS_LEAVING = 1
+_WANTS_ANSWER = 2
+
+
+def encode_beacon(beacon: _messages.Beacon) -> bytes:
+    """Write a beacon.
+
+    :param beacon: the beacon.
+    :returns: one datagram.
+    """
+    flags = (
+        beacon.is_leaving * _IS_LEAVING | beacon.wants_answer * _WANTS_ANSWER
+    )
+    news = beacon.news
+    fields = [
+        _VERSION,
+        beacon.name,
+        beacon.zone,
+        beacon.capacity,
+        flags,
+        [
+            [each.revision, each.changed, _to_milliseconds(each.age_seconds)]
+            for each in beacon.positions
+        ],
+        None if news is None else [news.topic, news.base, _list(news.items)],
+        [
+            [
+                each.source,
+                each.is_zone,
+                int(each.age_seconds * 1000),
+                each.flows,
+            ]
+            for each in beacon.loads
+        ],
+        [
+            [
+                each.name,
+                each.zone,
+                each.host,
+                each.capacity,
+                int(each.age_seconds * 1000),
+            ]
+            for each in beacon.hearsay
+        ],
+        beacon.doubts,
+        {token: int(age * 1000) for token, age in beacon.heard.items()},
+        beacon.lost,
+        _pack_ages(beacon.ages),
+        _pack_ages(beacon.silent),
+    ]
+    return msgpack.packb(fields)
+
+
+def decode_beacon(data: bytes) -> _messages.Beacon:
+    """Read a beacon.
+
+    :param data: one datagram.
+    :returns: the beacon.
+    :raises DecodeError: if it can't be read.
+    """
+    return _decode(data, _convert_beacon)
+
+
+def encode_fetch(topic: int, position: int) -> bytes:
+    """Write a request for what the sender lacks.
+
+    :param topic: the topic's number.
+    :param position: the sender's own position.
+    :returns: the bytes of the stream.
+    """
+    return msgpack.packb([_VERSION, topic, position])
+
+
+def decode_fetch(data: bytes) -> tuple[int, int]:
+    """Read a request for what a peer lacks.
+
+    :param data: the bytes of the stream.
+    :returns: the topic's number and the peer's position.
+    :raises DecodeError: if it can't be read.
+    """
+    return _decode(data, _convert_fetch)
+
+
+def encode_page(page: _messages.Page) -> bytes:
+    """Write the answer to a fetch.
+
+    :param page: the page.
+    :returns: all bytes of the stream.
+    """
+    fields = [
+        _VERSION,
+        page.base,
+        page.revision,
+        page.is_snapshot,
+        _to_milliseconds(page.age_seconds),
+        zlib.compress(msgpack.packb(_list(page.items)), 1),
+    ]
+    return msgpack.packb(fields)
+
+
+def decode_page(data: bytes) -> _messages.Page:
+    """Read the answer to a fetch.
+
+    :param data: all bytes of the stream.
+    :returns: the page.
+    :raises DecodeError: if it can't be read.
+    """
+    return _decode(data, _convert_page)
+
+
+def measure(items: Iterable[_item.Item]) -> int:
+    """Tell how large objects are in a message.
+
+    :param items: the objects.
+    :returns: bytes.
+    """
+    return len(msgpack.packb(_list(items)))
+
+
+def _decode(data, convert):
+    try:
+        fields = msgpack.unpackb(data, strict_map_key=False)
+        if fields[0] != _VERSION:
+            raise errors.DecodeError(f'version {fields[0]!a}')
+        return convert(fields)
+    except errors.DecodeError:
+        raise
+    # The library raises ValueError and its own; odd shapes the others.
+    except (
+        msgpack.UnpackException,
+        ArithmeticError,
+        AttributeError,
+        LookupError,
+        RecursionError,
+        TypeError,
+        ValueError,
+        zlib.error,
+    ) as error:
+        raise errors.DecodeError(repr(error)) from None
+
+
+def _convert_beacon(fields: list[object]) -> _messages.Beacon:
+    _, name, zone, capacity, flags, positions, *rest = fields
+    news, loads, hearsay, doubts, heard, lost, ages, silent = rest
+    return _messages.Beacon(
+        _check_text(name),
+        _check_text(zone),
+        _check_count(capacity),
+        bool(flags & _IS_LEAVING),
+        bool(flags & _WANTS_ANSWER),
+        tuple(
+            _messages.Position(
+                _check_count(revision),
+                _check_count(changed),
+                _to_seconds(age),
+            )
+            for revision, changed, age in _check_list(positions)
+        ),
+        None if news is None else _convert_news(news),
+        tuple(_convert_load(*each) for each in _check_list(loads)),
+        tuple(
+            _messages.Hearsay(
+                _check_text(name),
+                _check_text(zone),
+                _check_text(host),
+                _check_count(capacity),
+                _check_count(age) / 1000,
+            )
+            for name, zone, host, capacity, age in _check_list(hearsay)
+        ),
+        tuple(_check_count(token) for token in _check_list(doubts)),
+        {
+            _check_count(token): _check_count(age) / 1000
+            for token, age in heard.items()
+        },
+        tuple(_check_count(token) for token in _check_list(lost)),
+        _unpack_ages(ages),
+        _unpack_ages(silent),
+    )
+
+
+def _pack_ages(ages: dict[int, float]) -> bytes:
+    # Rounded up: an age that shrank on its way would keep alive what is not.
+    return b''.join(
+        _AGE.pack(digest, min(_MOST_AGE, math.ceil(age * _AGE_STEPS)))
+        for digest, age in ages.items()
+    )
+
+
+def _unpack_ages(data: object) -> dict[int, float]:
+    if not isinstance(data, bytes) or len(data) % _AGE.size:
+        raise errors.DecodeError('ages')
+    return {digest: age / _AGE_STEPS for digest, age in _AGE.iter_unpack(data)}
+
+
+def _convert_news(fields: list[object]) -> _messages.News:
+    topic, base, items = fields
+    return _messages.News(
+        _check_count(topic), _check_count(base), _convert_items(items)
+    )
+
+
+def _convert_load(
+    source: object, is_zone: object, age: object, flows: object
+) -> _messages.LoadReport:
+    return _messages.LoadReport(
+        _check_text(source),
+        bool(is_zone),
+        _check_count(age) / 1000,
+        {
+            _check_count(token): _check_count(count)
+            for token, count in flows.items()
+        },
+    )
+
+
+def _convert_fetch(fields: list[object]) -> tuple[int, int]:
+    _, topic, position = fields
+    return _check_count(topic), _check_count(position)
+
+
+def _convert_page(fields: list[object]) -> _messages.Page:
+    _, base, revision, is_snapshot, age, packed = fields
+    unpacker = zlib.decompressobj()
+    unpacked = unpacker.decompress(packed, MAXIMUM_PAGE_BYTES)
+    return _messages.Page(
+        _check_count(base),
+        _check_count(revision),
+        bool(is_snapshot),
+        _to_seconds(age),
+        _convert_items(msgpack.unpackb(unpacked)),
+    )
+
+
+def _list(items: Iterable[_item.Item]) -> list[list[object]]:
+    return [
+        [each.path, each.revision, each.created, each.value] for each in items
+    ]
+
+
+def _convert_items(fields: list[object]) -> tuple[_item.Item, ...]:
+    return tuple(
+        _item.Item(
+            _check_text(path),
+            _check_count(revision),
+            _check_count(created),
+            _check_value(value),
+        )
+        for path, revision, created, value in fields
+    )
+
+
+def _check_value(value: object) -> dict[str, object] | None:
+    if value is not None and not isinstance(value, dict):
+        raise errors.DecodeError('a value is no map')
+    return value
+
+
+def _check_text(value: object) -> str:
+    if not isinstance(value, str) or not value:
+        raise errors.DecodeError('a text is wanted')
+    return value
+
+
+def _check_count(value: object) -> int:
+    if type(value) is not int or not 0 <= value <= _MOST_NUMBER:
+        raise errors.DecodeError('a count is wanted')
+    return value
+
+
+def _check_list(value: object) -> list[object]:
+    if not isinstance(value, list) or len(value) > _MOST_LIST:
+        raise errors.DecodeError('a short list is wanted')
+    return value
+
+
+def _to_milliseconds(seconds: float | None) -> int:
+    if seconds is None:
+        return _NEVER_MILLISECONDS
+    return int(seconds * 1000)
+
+
+def _to_seconds(milliseconds: object) -> float | None:
+    if milliseconds == _NEVER_MILLISECONDS:
+        return None
+    return _check_count(milliseconds) / 1000
