--- a/skylarkfold/measure/relay.py
+++ b/skylarkfold/measure/relay.py
@@ -13,6 +13,7 @@
 import tracemalloc
 
 from skylarkfold.measure import _relay_fleet
+from skylarkfold import relay
 
 _SIZES = (7, 30, 78, 300, 600)
 _MOST_ZONES = 11
@@ -27,6 +28,9 @@
 _BURST_CHANGES = 20
 _BURST_PAUSE_SECONDS = 0.1
 _BURST_SECONDS = 5.0
+# How often views are looked at after an end, and for how long at most.
+_LOOK_SECONDS = 0.1
+_MOST_LOOKS = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,10 +39,11 @@
 
     :param instances: instances.
     :param scenario: ``rest``, ``routes`` (all routes change as one object),
-        ``upstreams`` (twenty entries change within two seconds) or
-        ``zone-cut`` (one zone is cut off from all others and the store).
-    :param reach_seconds: until the last instance knew a change; None where
-        nothing changed.
+        ``upstreams`` (twenty entries change within two seconds), ``ends``
+        (one instance of each zone ends without a word) or ``zone-cut`` (one
+        zone is cut off from all others and the store).
+    :param reach_seconds: until the last instance knew a change, or of an
+        end in its zone; None where nothing changed.
     :param bytes_per_second: sent by an instance, on average.
     :param bytes_worst_second: the same for the busiest.
     :param bytes_a_change: sent by an instance for one change beyond what is
@@ -112,7 +117,38 @@
     inside = {name for name, zone in fleet.zones.items() if zone == 'zone-1'}
     fleet.cut = lambda one, other: (one in inside) != (other in inside)
     fleet.run(_REST_SECONDS)
-    return [rest, routes, burst, window.end('zone-cut')]
+    cut = window.end('zone-cut')
+    fleet.cut = lambda one, other: False
+    fleet.run(_CHANGE_SECONDS)
+
+    window = _Window(fleet, rest)
+    reach = _end_some(fleet)
+    return [rest, routes, burst, cut, window.end('ends', reach=reach)]
+
+
+def _end_some(fleet: _relay_fleet.Fleet) -> float | None:
+    """End the last instance of each zone.
+
+    :returns: seconds until no other of its zone takes it to be there; None
+        if one still does in the end.
+    """
+    zones = {zone: name for name, zone in fleet.zones.items()}
+    for name in zones.values():
+        fleet.end(name)
+    begun = fleet.now
+    for _ in range(_MOST_LOOKS):
+        fleet.run(_LOOK_SECONDS)
+        if not any(
+            _is_believed(core, zones[fleet.zones[name]])
+            for name, core in fleet.cores.items()
+        ):
+            return round(fleet.now - begun, 4)
+    return None
+
+
+def _is_believed(core: relay.RelayCore, name: str) -> bool:
+    peer = core.peers.members.get(name)
+    return peer is not None and peer.is_reachable
 
 
 def _measure_memory(size: int) -> float:
@@ -134,6 +170,7 @@
         self._fleet = fleet
         self._rest = rest
         self._begun = fleet.now
+        self._count = len(fleet.cores)
         self._calls = fleet.store.calls
         self._known = len(fleet.changes)
         fleet.sent.clear()
@@ -145,6 +182,7 @@
         changed: tuple[str, str] | None = None,
         changes: int = 0,
         memory: float | None = None,
+        reach: float | None = None,
     ) -> RelayResult:
         """Sum up.
 
@@ -152,12 +190,13 @@
         :param changed: topic and path of the last change.
         :param changes: how many there were.
         :param memory: of one instance.
+        :param reach: until all knew what happened, where no object changed.
         """
         fleet = self._fleet
         seconds = fleet.now - self._begun
-        count = len(fleet.cores)
+        count = self._count
         sent = sum(fleet.sent.values()) / seconds / count
-        reach = extra = None
+        extra = None
         if changed is not None:
             reach = self._find_reach(*changed)
             extra = (sent - self._rest.bytes_per_second) * seconds / changes
--- a/skylarkfold/report/_token_lines.py
+++ b/skylarkfold/report/_token_lines.py
@@ -95,6 +95,13 @@
             'upstreams',
             budget.propagation_seconds,
         ),
+        (
+            'an end without a word known to the whole zone',
+            's',
+            'reach_seconds',
+            'ends',
+            None,
+        ),
     ):
         source = f'relay: {field}, {scenario}'
         value = find(field, scenario)
--- a/skylarkfold/tests/measure/test_relay.py
+++ b/skylarkfold/tests/measure/test_relay.py
@@ -17,7 +17,8 @@
 
     def test_all_scenarios_are_measured(self):
         self.assertEqual(
-            {'rest', 'routes', 'upstreams', 'zone-cut'}, set(self.results)
+            {'rest', 'routes', 'upstreams', 'ends', 'zone-cut'},
+            set(self.results),
         )
 
     def test_changes_reach_every_instance_and_cost_bytes(self):
