--- a/skylarkfold/explain/_timeline.py
+++ b/skylarkfold/explain/_timeline.py
@@ -14,8 +14,8 @@
 # Lines of a kind that follow one another within this belong together: what
 # all instances see, they see within a second.
 _GAP_SECONDS = 1.0
-# Written all the time, whatever happens.
-_ORDINARY = frozenset({'open', 'known', 'counters'})
+# Written all the time, whatever happens; of doubts, verdicts are told.
+_ORDINARY = frozenset({'open', 'known', 'counters', 'doubt'})
 _SHOWN_NAMES = 3
 
 
--- a/skylarkfold/tests/explain/test_timeline.py
+++ b/skylarkfold/tests/explain/test_timeline.py
@@ -71,6 +71,7 @@
             write(1.0, 'a', 'open', reason='placed', upstream='u-1'),
             write(1.1, 'a', 'known', topic='t', revision=3),
             write(1.2, 'a', 'counters', opened=3),
+            write(1.3, 'a', 'doubt', reason='not-answered', upstream='u-1'),
             'no line of ours',
         ]
         self.assertEqual([], self.list_entries(texts))
