One reader of files, one pass over flows, gossip worked out once

Ruled out, left as they are: the admission's share at each answer (1.9 us); write_settings beside build_fields, whose parameters are the platform's; the stand-in's own packet header, which must not share the adapter's.

--- a/skylarkfold/_commands.py
+++ b/skylarkfold/_commands.py
@@ -8,6 +8,7 @@
 import pkgutil
 
 from skylarkfold import errors
+from skylarkfold import files
 
 
 def _load(name: str) -> object:
@@ -25,7 +26,7 @@
         raise errors.UsageError('no log file is named')
     lines: list[object] = []
     for path in paths:
-        text = _load('_operators').read_file(str(path))
+        text = files.read_bytes(str(path))
         lines += _load('explain').read_lines(
             text.decode(errors='replace').split('\n')
         )
@@ -83,7 +84,7 @@
             settings.read_entry_settings(path)
             print(f'{path}: a valid instance file')
             return
-        text = _load('_operators').read_file(path)
+        text = files.read_bytes(path)
         read = settings.read_team_settings(text, path, str(team))
         print(f'{path}: {len(read.services)} valid services')
 
--- a/skylarkfold/_operators.py
+++ b/skylarkfold/_operators.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 import dataclasses
 import getpass
-import pathlib
 from typing import TypeVar
 import uuid
 
@@ -17,6 +16,7 @@
 from skylarkfold import edge
 from skylarkfold import endpoint
 from skylarkfold import errors
+from skylarkfold import files
 from skylarkfold import member
 from skylarkfold import service
 from skylarkfold import settings
@@ -67,7 +67,7 @@
     if not path:
         identity = Identity(name or getpass.getuser(), team, platform)
     else:
-        value = settings.parse_document(read_file(path), path)
+        value = settings.parse_document(files.read_bytes(path), path)
         identity = settings.convert_section(value, Identity, path)
     if not identity.platform:
         raise errors.UsageError('--platform or --identity must be given')
@@ -78,20 +78,6 @@
     return identity
 
 
-def read_file(path: str) -> bytes:
-    """Read a settings file.
-
-    :param path: the file.
-    :returns: its bytes.
-    :raises SettingsUnreadableError: if it can't be read.
-    """
-    try:
-        return pathlib.Path(path).read_bytes()
-    except OSError as error:
-        reason = error.strerror or str(error)
-        raise errors.SettingsUnreadableError(reason, path) from error
-
-
 def run_on_platform(
     identity: Identity,
     work: Callable[[edge.PlatformClient], Awaitable[_Result]],
@@ -120,7 +106,7 @@
     :param identity: who asks.
     :param path: the file.
     """
-    text = read_file(path)
+    text = files.read_bytes(path)
     found = run_on_platform(
         identity,
         lambda client: teams.preview_change(
@@ -141,7 +127,7 @@
     :param path: the file.
     :param version: the version that must be in force; None for any.
     """
-    text = read_file(path)
+    text = files.read_bytes(path)
     write = uuid.uuid4().hex
     applied = run_on_platform(
         identity,
--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -109,9 +109,8 @@
             effects.append(_record_change(standing, change))
             if change == _directory.Change.LAPSED:
                 effects += self._health.take_lapse(now, standing)
-        for standing in self._directory:
-            if standing.is_replaced:
-                effects += self._ending.end_flows(now, standing)
+        replaced = [each for each in self._directory if each.is_replaced]
+        effects += self._ending.end_flows(now, replaced)
         return effects + self._release(now)
 
     def note_confirmed(self, now: float) -> None:
--- a/skylarkfold/affinity/_directory.py
+++ b/skylarkfold/affinity/_directory.py
@@ -89,7 +89,7 @@
             if is_absent and standing.lapsed_at is None:
                 standing.lapsed_at = now
                 changes.append((standing, Change.LAPSED))
-        self.forget(now)
+        self._drop_old(now)
         self._index()
         return changes
 
@@ -98,6 +98,10 @@
 
         :param now: the time.
         """
+        if self._drop_old(now):
+            self._index()
+
+    def _drop_old(self, now: float) -> bool:
         oldest = now - self._settings.flow_seconds
         gone = [
             name
@@ -106,8 +110,7 @@
         ]
         for name in gone:
             del self._by_name[name]
-        if gone:
-            self._index()
+        return bool(gone)
 
     def _put(self, now: float, upstream: _upstream.Upstream) -> str:
         standing = self._by_name.get(upstream.name)
--- a/skylarkfold/affinity/_ending.py
+++ b/skylarkfold/affinity/_ending.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from skylarkfold.affinity import _effect
 from skylarkfold.affinity import _flow
 from skylarkfold.affinity import _packet
@@ -50,21 +52,24 @@
         return self._reset(now, flow)
 
     def end_flows(
-        self, now: float, standing: _standing.Standing
+        self, now: float, standings: Iterable[_standing.Standing]
     ) -> list[object]:
-        """End all flows of an upstream if it is gone.
+        """End all flows of upstreams that are gone.
 
         Their callers need not find out with their next request.
 
         :param now: the time.
-        :param standing: the upstream.
+        :param standings: upstreams that may be gone.
         :returns: effects.
         """
-        if not standing.may_reset(now, self._settings):
+        gone = {
+            each for each in standings if each.may_reset(now, self._settings)
+        }
+        if not gone:
             return []
         effects: list[object] = []
         for flow in self._flows:
-            is_here = flow.standing is standing and flow.is_open
+            is_here = flow.standing in gone and flow.is_open
             if is_here and not flow.is_closed and _may_end(flow):
                 effects += self._reset(now, flow)
         return effects
--- a/skylarkfold/affinity/_health.py
+++ b/skylarkfold/affinity/_health.py
@@ -213,7 +213,7 @@
         effects: list[object] = [self._record(now, standing, outcome)]
         if standing.is_proven:
             effects.append(_effect.TellPeers(standing.upstream))
-        effects += self._ending.end_flows(now, standing)
+        effects += self._ending.end_flows(now, [standing])
         return effects + self._doubt_zone(now, standing)
 
     def tick(self, now: float) -> list[object]:
--- a/skylarkfold/explain/_clocks.py
+++ b/skylarkfold/explain/_clocks.py
@@ -47,6 +47,16 @@
     }
 
 
+def adjust(line: _line.Line, clocks: dict[str, Clock]) -> float:
+    """Tell when a line was written by the reference.
+
+    :param line: the line.
+    :param clocks: the instances' clocks.
+    :returns: the time on the reference's clock.
+    """
+    return line.time - clocks[line.instance].offset
+
+
 def _compare(
     reference: dict[tuple[str, str], float],
     marks: dict[tuple[str, str], float],
--- a/skylarkfold/explain/_story.py
+++ b/skylarkfold/explain/_story.py
@@ -92,7 +92,7 @@
     """
     known = list(lines)
     reference, clocks = _clocks.align(known)
-    times = {id(line): _adjust(line, clocks) for line in known}
+    times = {id(line): _clocks.adjust(line, clocks) for line in known}
     own = [line for line in known if _names(line, flow)]
     if not own:
         return Story(flow, [], clocks, reference)
@@ -116,10 +116,6 @@
     return Story(flow, events, clocks, reference)
 
 
-def _adjust(line: _line.Line, clocks: dict[str, _clocks.Clock]) -> float:
-    return line.time - clocks[line.instance].offset
-
-
 def _names(line: _line.Line, flow: str) -> bool:
     named = line.get('flow')
     return named == flow or named.startswith(f'{flow}>')
--- a/skylarkfold/explain/_timeline.py
+++ b/skylarkfold/explain/_timeline.py
@@ -64,7 +64,7 @@
     known = list(lines)
     _, clocks = _clocks.align(known)
     timed = [
-        (line.time - clocks[line.instance].offset, line)
+        (_clocks.adjust(line, clocks), line)
         for line in known
         if line.message not in _ORDINARY
     ]
@@ -81,18 +81,15 @@
     return entries
 
 
-def format_entries(entries: list[Entry], begin: float | None = None) -> str:
+def format_entries(entries: list[Entry]) -> str:
     """Write entries.
 
     :param entries: the entries.
-    :param begin: the time that is written as 0; that of the first entry
-        where left out.
-    :returns: lines of text.
+    :returns: lines of text; times count from the first entry.
     """
     if not entries:
         return 'no line tells of more than ordinary work\n'
-    zero = entries[0].at if begin is None else begin
-    return ''.join(_format(each, zero) for each in entries)
+    return ''.join(_format(each, entries[0].at) for each in entries)
 
 
 def _find_kind(line: _line.Line) -> tuple[str, ...]:
--- a/skylarkfold/forwarder/_own.py
+++ b/skylarkfold/forwarder/_own.py
@@ -10,6 +10,7 @@
 
 from skylarkfold import affinity
 from skylarkfold import errors
+from skylarkfold import files
 from skylarkfold import relay
 
 _COMMENT = '//'
@@ -79,11 +80,7 @@
     if not path:
         return OwnSettings()
     try:
-        with open(path, encoding='utf-8') as file:
-            text = file.read()
-    except OSError as error:
-        reason = error.strerror or str(error)
-        raise errors.SettingsUnreadableError(reason, path) from None
+        text = files.read_bytes(path).decode()
     except UnicodeDecodeError as error:
         raise errors.SettingsUnreadableError(str(error), path) from None
     return parse_own_settings(text, path)
--- a/skylarkfold/machine.py
+++ b/skylarkfold/machine.py
@@ -12,6 +12,7 @@
 import os
 
 from skylarkfold import errors
+from skylarkfold import files
 
 _MAXIMUM_PORT = 65535
 # For files that leave them out: what the platform's example has.
@@ -152,11 +153,7 @@
         read or used.
     """
     try:
-        with open(path, 'rb') as file:
-            fields = json.load(file)
-    except OSError as error:
-        reason = error.strerror or str(error)
-        raise errors.SettingsUnreadableError(reason, path) from None
+        fields = json.loads(files.read_bytes(path))
     except ValueError as error:
         raise errors.SettingsSyntaxError(str(error), path) from None
     return convert_settings(fields, path)
--- a/skylarkfold/platform/check.py
+++ b/skylarkfold/platform/check.py
@@ -6,6 +6,7 @@
 import tomllib
 
 from skylarkfold import errors
+from skylarkfold import files
 from skylarkfold import forwarder
 from skylarkfold import machine
 
@@ -36,10 +37,7 @@
 
 def _check_deploy(path: str) -> str:
     try:
-        fields = tomllib.loads(pathlib.Path(path).read_text())
-    except OSError as error:
-        reason = error.strerror or str(error)
-        raise errors.SettingsUnreadableError(reason, path) from None
+        fields = tomllib.loads(files.read_bytes(path).decode())
     except ValueError as error:
         raise errors.SettingsSyntaxError(str(error), path) from None
     roles = fields.get('roles')
--- a/skylarkfold/relay/_announcer.py
+++ b/skylarkfold/relay/_announcer.py
@@ -140,8 +140,7 @@
         ages: dict[int, float] = {}
         if now >= self._next_slow_near:
             self._next_slow_near = now + self._settings.slow_seconds
-            hearsay = self._peers.gossip.choose_hearsay(now)
-            ages = self._peers.gossip.list_ages(now)
+            hearsay, ages = self._peers.gossip.tell_mates(now)
             loads += [
                 _messages.LoadReport(zone, True, max(0.0, now - at), flows)
                 for zone, (at, flows) in self._zone_loads.items()
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -405,9 +405,5 @@
             *self._peers.list_hosts(is_near=True),
             *self._peers.list_hosts(is_near=False),
         ]
-        return [
-            _effect.Note('paused', paused_ms=paused),
-            _effect.SendBeacon(
-                hosts, self._announcer.build(now, is_asking=True)
-            ),
-        ]
+        note = _effect.Note('paused', paused_ms=paused)
+        return [note, *self._announcer.approach(now, hosts)]
--- a/skylarkfold/relay/_gossip.py
+++ b/skylarkfold/relay/_gossip.py
@@ -75,15 +75,6 @@
             # between two zones is no matter to a third.
             self._silent_far[peer.name] = _SILENT_TELLS
 
-    def list_ages(self, now: float) -> dict[int, float]:
-        """List when instances were last heard by anyone.
-
-        :param now: the time.
-        :returns: seconds by the digest of each name, for those that this
-            zone is told of.
-        """
-        return {peer.digest: now - peer.heard_at for peer in self._list_told()}
-
     def list_silent(self, now: float, is_near: bool) -> dict[int, float]:
         """List instances that have just fallen silent.
 
@@ -104,26 +95,28 @@
                 del silent[name]
         return found
 
-    def choose_hearsay(self, now: float) -> tuple[_messages.Hearsay, ...]:
-        """Choose some instances to tell this zone of.
-
-        Those just learnt go first, then the others in turn.
+    def tell_mates(
+        self, now: float
+    ) -> tuple[tuple[_messages.Hearsay, ...], dict[int, float]]:
+        """Choose what this zone is told.
 
         :param now: the time.
-        :returns: those that were heard lately.
+        :returns: some instances, those just learnt first, then the others
+            in turn; and how many seconds ago each of those that the zone
+            is told of was last heard by anyone, by the digest of its name.
         """
         known = self._list_told()
+        ages = {peer.digest: now - peer.heard_at for peer in known}
+        return _tell_of(now, self._choose(known)), ages
+
+    def _choose(self, known: list[_peer.Peer]) -> list[_peer.Peer]:
         if not known:
-            return ()
+            return []
         chosen = self._take_fresh(known)
         begin = self._next % len(known)
         self._next = begin + _HEARSAY_COUNT
-        chosen += [
-            peer
-            for peer in (known[begin:] + known[:begin])[:_HEARSAY_COUNT]
-            if peer not in chosen
-        ]
-        return _tell_of(now, chosen)
+        turn = (known[begin:] + known[:begin])[:_HEARSAY_COUNT]
+        return chosen + [peer for peer in turn if peer not in chosen]
 
     def _take_fresh(self, known: list[_peer.Peer]) -> list[_peer.Peer]:
         fresh = self._fresh
--- a/skylarkfold/settings/_entry.py
+++ b/skylarkfold/settings/_entry.py
@@ -12,6 +12,7 @@
 from skylarkfold import edge as edge_package
 from skylarkfold import endpoint
 from skylarkfold import errors
+from skylarkfold import files
 from skylarkfold import flows as flows_package
 from skylarkfold import instance as instance_module
 from skylarkfold import log as log_module
@@ -111,12 +112,7 @@
         be read or used; its subclasses tell what.
     """
     source = str(path)
-    try:
-        text = pathlib.Path(path).read_bytes()
-    except (OSError, ValueError) as error:
-        reason = getattr(error, 'strerror', None) or str(error)
-        raise errors.SettingsUnreadableError(reason, source) from None
-    return parse_entry_settings(text, source)
+    return parse_entry_settings(files.read_bytes(path), source)
 
 
 def parse_entry_settings(text: str | bytes, source: str) -> EntrySettings:
--- a/skylarkfold/tests/explain/test_explain.py
+++ b/skylarkfold/tests/explain/test_explain.py
@@ -1,39 +1,33 @@
 """Tests of a flow's story."""
 
-import json
-
 import testtools
 
 from skylarkfold import explain
+from skylarkfold.tests.explain import samples
 
 FLOW = '192.0.2.7:40001>198.51.100.1:443'
 
 
-def write(time, instance, message, **fields):
-    line = {
-        'time': time,
-        'level': 'info',
-        'instance': instance,
-        'message': message,
-        **fields,
-    }
-    return json.dumps(line, separators=(',', ':'))
-
-
 def build_logs():
     """Two instances, the second with a clock 2 s ahead."""
     return [
-        write(100.0, 'one', 'known', topic='t', revision=5),
-        write(102.01, 'two', 'known', topic='t', revision=5),
-        write(100.1, 'one', 'known', topic='t', revision=6),
-        write(102.11, 'two', 'known', topic='t', revision=6),
-        write(100.2, 'one', 'routes', reason='in-force', version=7),
-        write(101.0, 'one', 'open', reason='placed', flow=FLOW, upstream='u'),
-        write(101.1, 'one', 'open', reason='placed', flow='x>y', upstream='v'),
-        write(101.2, 'one', 'upstream', reason='lapsed', upstream='u'),
-        write(101.2, 'one', 'upstream', reason='lapsed', upstream='v'),
-        write(103.9, 'two', 'reset', reason='replaced', flow=FLOW),
-        write(103.95, 'two', 'dependency', reason='lost', name='store'),
+        samples.write(100.0, 'one', 'known', topic='t', revision=5),
+        samples.write(102.01, 'two', 'known', topic='t', revision=5),
+        samples.write(100.1, 'one', 'known', topic='t', revision=6),
+        samples.write(102.11, 'two', 'known', topic='t', revision=6),
+        samples.write(100.2, 'one', 'routes', reason='in-force', version=7),
+        samples.write(
+            101.0, 'one', 'open', reason='placed', flow=FLOW, upstream='u'
+        ),
+        samples.write(
+            101.1, 'one', 'open', reason='placed', flow='x>y', upstream='v'
+        ),
+        samples.write(101.2, 'one', 'upstream', reason='lapsed', upstream='u'),
+        samples.write(101.2, 'one', 'upstream', reason='lapsed', upstream='v'),
+        samples.write(103.9, 'two', 'reset', reason='replaced', flow=FLOW),
+        samples.write(
+            103.95, 'two', 'dependency', reason='lost', name='store'
+        ),
         'no line of ours',
         '{"time": 5}',
     ]
@@ -76,14 +70,17 @@
         self.assertEqual(0, len(self.tell('192.0.2.7:4000').events))
 
     def test_the_text_says_what_is_not_known(self):
-        logs = [*build_logs(), write(5.0, 'three', 'open', flow=FLOW)]
+        logs = [*build_logs(), samples.write(5.0, 'three', 'open', flow=FLOW)]
         text = explain.format_story(self.tell(logs=logs))
         self.assertIn('three: not comparable', text)
         self.assertIn('two: +2.010 s, from 2 changes', text)
         self.assertIn('last decision:', text)
 
     def test_left_out_lines_are_said(self):
-        logs = [*build_logs(), write(101.3, 'one', 'lines left out', count=3)]
+        logs = [
+            *build_logs(),
+            samples.write(101.3, 'one', 'lines left out', count=3),
+        ]
         text = explain.format_story(self.tell(logs=logs))
         self.assertIn('the story has gaps', text)
 
--- a/skylarkfold/tests/explain/test_timeline.py
+++ b/skylarkfold/tests/explain/test_timeline.py
@@ -1,7 +1,6 @@
 """Tests of a fleet's timeline."""
 
 import io
-import json
 import pathlib
 import tempfile
 from unittest import mock
@@ -11,23 +10,13 @@
 from skylarkfold import _commands
 from skylarkfold import errors
 from skylarkfold import explain
-
-
-def write(time, instance, message, **fields):
-    line = {
-        'time': time,
-        'level': 'info',
-        'instance': instance,
-        'message': message,
-        **fields,
-    }
-    return json.dumps(line)
+from skylarkfold.tests.explain import samples
 
 
 def build_crash(instances, at=100.0, offset=0.0):
     """Lines of instances that all find the same upstream gone."""
     return [
-        write(
+        samples.write(
             at + number / 50 + offset,
             f'n-{number}',
             'health',
@@ -59,19 +48,21 @@
         lost = dict(reason='lost', name='store/config')
         entries = self.list_entries(
             [
-                write(1.0, 'a', 'dependency', cause='busy', **lost),
-                write(1.1, 'b', 'dependency', cause='timeout', **lost),
-                write(1.2, 'c', 'dependency', cause='busy', **lost),
+                samples.write(1.0, 'a', 'dependency', cause='busy', **lost),
+                samples.write(1.1, 'b', 'dependency', cause='timeout', **lost),
+                samples.write(1.2, 'c', 'dependency', cause='busy', **lost),
             ]
         )
         self.assertEqual([2, 1], [each.count for each in entries])
 
     def test_ordinary_work_is_left_out(self):
         texts = [
-            write(1.0, 'a', 'open', reason='placed', upstream='u-1'),
-            write(1.1, 'a', 'known', topic='t', revision=3),
-            write(1.2, 'a', 'counters', opened=3),
-            write(1.3, 'a', 'doubt', reason='not-answered', upstream='u-1'),
+            samples.write(1.0, 'a', 'open', reason='placed', upstream='u-1'),
+            samples.write(1.1, 'a', 'known', topic='t', revision=3),
+            samples.write(1.2, 'a', 'counters', opened=3),
+            samples.write(
+                1.3, 'a', 'doubt', reason='not-answered', upstream='u-1'
+            ),
             'no line of ours',
         ]
         self.assertEqual([], self.list_entries(texts))
@@ -81,10 +72,10 @@
     def test_clocks_that_differ_are_set(self):
         # The second instance's clock is an hour ahead.
         texts = [
-            write(100.0, 'n-0', 'known', topic='t', revision=1),
-            write(3700.0, 'n-1', 'known', topic='t', revision=1),
-            write(101.0, 'n-0', 'started', zone='z'),
-            write(3701.2, 'n-1', 'started', zone='z'),
+            samples.write(100.0, 'n-0', 'known', topic='t', revision=1),
+            samples.write(3700.0, 'n-1', 'known', topic='t', revision=1),
+            samples.write(101.0, 'n-0', 'started', zone='z'),
+            samples.write(3701.2, 'n-1', 'started', zone='z'),
         ]
         (entry,) = self.list_entries(texts)
         self.assertEqual(2, entry.count)
--- a/skylarkfold/tests/relay/test_peers.py
+++ b/skylarkfold/tests/relay/test_peers.py
@@ -124,7 +124,8 @@
         core.tick(0.0)
         core.take_beacon(0.1, '10.0.0.2', beacon)
         core.tick(5.0)
-        (age,) = core.peers.gossip.list_ages(5.0).values()
+        _, ages = core.peers.gossip.tell_mates(5.0)
+        (age,) = ages.values()
         self.assertAlmostEqual(4.9, age)
         # It has the time to be heard again.
         self.assertTrue(core.peers.members['two'].is_reachable)
