Answers are seen wherever an upstream's numbers begin

Cause: a flow began with an acknowledgement of 0, which half of all upstreams' first numbers are not after (modulo 2**32): of these flows no answer was ever noted. Their requests passed for unanswered, peers were asked, and how long a service takes was learnt from the other half.

Change: an opened flow begins with what its caller acknowledges. The test failed at 0x80000001 and 0xFFFFFFF0.

--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -157,7 +157,7 @@
             if flow is None:
                 return self._take_unknown(now, packet)
         elif not flow.is_open:
-            self._open(now, flow)
+            self._open(now, flow, packet)
         if self._routes.get(packet.address) is None and self.is_ready:
             return self._take_removed(now, packet, flow)
         return self._carry(now, packet, flow)
@@ -299,14 +299,18 @@
             _flow.count_in(flow, standing)
             return flow
         _flow.count_in(flow, standing)
-        self._open(now, flow)
+        self._open(now, flow, packet)
         return flow
 
-    def _open(self, now: float, flow: _flow.Flow) -> None:
+    def _open(
+        self, now: float, flow: _flow.Flow, packet: _packet.Packet
+    ) -> None:
         opened = self.tally.histograms[_tally.OPEN_SECONDS]
         opened.observe(now - flow.begun_at)
         flow.is_open = True
         flow.first = b''
+        # Its upstream's numbers begin anywhere.
+        flow.acknowledged = packet.acknowledged
         self._health.note_heard(now, flow.standing)
 
     def _carry(
--- a/skylarkfold/tests/affinity/test_health.py
+++ b/skylarkfold/tests/affinity/test_health.py
@@ -130,6 +130,17 @@
         self.core.tick(1.21)
         self.assertEqual(2, len(self.core.tick(1.32)))
 
+    def test_answers_are_seen_wherever_the_numbers_begin(self):
+        for begun in (501, 0x7FFFFFFF, 0x80000001, 0xFFFFFFF0):
+            core = samples.build_core(samples.build_upstream(1))
+            core.take_packet(1.0, samples.build_first(5))
+            request = samples.build_packet(5, 1, 101, begun, 100)
+            core.take_packet(1.01, request)
+            end = (begun + 2000) % (1 << 32)
+            core.take_packet(1.05, samples.build_packet(5, 1, 201, end))
+            answers = core.tally.histograms['answer_seconds']
+            self.assertEqual(1, answers.count, hex(begun))
+
     def test_a_slow_service_is_waited_for(self):
         for number in range(20):
             now = float(number)
