The log is loaded when callers are served; lines wait until then

Change: lines are held with the times at which they were said and handed to the standard library's logger 2 s after the start, when a process ends or fails; the collector is on from then. Nothing is lost or out of order, the budget of lines on flows counts by the held times, and what finds no room is counted (tests). A process that is killed within its first 2 s takes its lines with it. measure start asks the instance itself whether it is ready.

--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import functools
-import logging
+import gc
 import signal
 import socket
 
@@ -16,6 +16,7 @@
 from skylarkfold.forwarder import _platform
 from skylarkfold.forwarder import _probe
 from skylarkfold.forwarder import _reporter
+from skylarkfold import late_log
 from skylarkfold import machine
 from skylarkfold import reactor
 from skylarkfold import relay
@@ -32,6 +33,9 @@
 _COUNTERS_SECONDS = 10.0
 # How often the settings are looked at; they may change without a signal.
 _SETTINGS_SECONDS = 1.0
+# After the start the log and the collector of garbage wait for so long: the
+# callers that came back after a restart of everything go first.
+_SETTLED_SECONDS = 2.0
 # Names of changed objects in one log line.
 _LOGGED_NAMES = 20
 
@@ -121,10 +125,14 @@
         loop.call_every(_FLUSH_SECONDS, self._flush)
         loop.call_every(_COUNTERS_SECONDS, self._say_counters)
         loop.call_every(_SETTINGS_SECONDS, lambda: self._reload(False))
+        loop.call_later(_SETTLED_SECONDS, self._settle)
         self._reporter.log('started', zone=self._settings.zone)
-        self._perform(self._relay.tick(loop.now()))
-        loop.run()
-        self._close()
+        try:
+            self._perform(self._relay.tick(loop.now()))
+            loop.run()
+            self._close()
+        finally:
+            self._settle()
 
     @property
     def _is_ready(self) -> bool:
@@ -132,6 +140,11 @@
         is_in = departure is None or departure.left_at is None
         return self._affinity.is_ready and is_in
 
+    def _settle(self) -> None:
+        gc.enable()
+        self._reporter.open()
+        self._reporter.flush()
+
     def _stop(self) -> None:
         if self._departure is None:
             now = self._loop.now()
@@ -145,7 +158,7 @@
             settings = self._file.reread(is_forced)
         except errors.SettingsError as error:
             self._reporter.log(
-                'settings', logging.ERROR, reason='kept', error=str(error)
+                'settings', late_log.ERROR, reason='kept', error=str(error)
             )
             return
         if settings is None:
@@ -376,7 +389,6 @@
         self._loop.close()
         self._say_counters()
         self._reporter.log('stopped')
-        self._reporter.flush()
 
 
 def _ignore(_wanted: object) -> None:
--- a/skylarkfold/forwarder/_lines.py
+++ b/skylarkfold/forwarder/_lines.py
@@ -16,8 +16,8 @@
 
 from skylarkfold import budget
 from skylarkfold.forwarder import _own
+from skylarkfold import late_log
 
-LOGGER_NAME = 'skylarkfold'
 # A pipe that is ready takes this much without blocking (POSIX).
 _PORTION_BYTES = 4096
 
@@ -55,7 +55,7 @@
             self.left_out += 1
             return
         fields = {
-            'time': round(time.time(), 3),
+            'time': round(record.created, 3),
             'level': record.levelname.lower(),
             'instance': self._instance,
             'message': record.getMessage(),
@@ -70,7 +70,8 @@
         # Only decisions on single flows come in numbers.
         if not getattr(record, 'is_budgeted', False):
             return True
-        return self._budget.take(time.monotonic())
+        # A line that was held counts for the time at which it was said.
+        return self._budget.take(getattr(record, 'at', time.monotonic()))
 
     def flush(self) -> None:
         """Write what the reader takes at once."""
@@ -122,7 +123,7 @@
     :returns: the handler, to be flushed now and then.
     """
     handler = LineHandler(instance, settings)
-    logger = logging.getLogger(LOGGER_NAME)
+    logger = logging.getLogger(late_log.NAME)
     logger.handlers[:] = [handler]
     logger.propagate = False
     logger.setLevel(logging.INFO)
--- a/skylarkfold/forwarder/_peers.py
+++ b/skylarkfold/forwarder/_peers.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Protocol
 
 from skylarkfold import datagram
 from skylarkfold import errors
 from skylarkfold.forwarder import _metrics
+from skylarkfold import late_log
 from skylarkfold import reactor
 from skylarkfold import relay
 
@@ -17,7 +17,7 @@
 _FETCH_BYTES = 64
 _SERVE_SECONDS = 2.0
 
-_logger = logging.getLogger('skylarkfold')
+_logger = late_log.LOGGER
 
 
 class Listener(Protocol):
--- a/skylarkfold/forwarder/_reporter.py
+++ b/skylarkfold/forwarder/_reporter.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import collections
-import logging
 
 from skylarkfold import affinity
-from skylarkfold.forwarder import _lines
 from skylarkfold.forwarder import _metrics
 from skylarkfold.forwarder import _own
 from skylarkfold import histogram
+from skylarkfold import late_log
 
-_logger = logging.getLogger(_lines.LOGGER_NAME)
+_logger = late_log.LOGGER
 
 
 class Reporter:
@@ -19,12 +18,24 @@
 
     :param instance: its name.
     :param settings: how much is logged.
+
+    Lines are held until :meth:`open`.
     """
 
-    __slots__ = ('_handler', '_lost', 'counters', 'histograms')
+    __slots__ = (
+        '_handler',
+        '_instance',
+        '_lost',
+        '_settings',
+        'counters',
+        'histograms',
+    )
 
     def __init__(self, instance: str, settings: _own.LogSettings) -> None:
-        self._handler = _lines.configure(instance, settings)
+        self._instance = instance
+        self._settings = settings
+        self._handler: object = None
+        _logger.hold(settings.waiting_lines)
         self._lost: dict[str, float] = {}
         self.counters: collections.Counter[str] = collections.Counter()
         self.histograms = {
@@ -40,15 +51,15 @@
         self.counters[name] += 1
 
     def log(
-        self, message: str, level: int = logging.INFO, **fields: object
+        self, message: str, level: int = late_log.INFO, **fields: object
     ) -> None:
         """Write a line about the process.
 
         :param message: what happened.
-        :param level: one of :mod:`logging`.
+        :param level: one of ``late_log``.
         :param fields: what decided it, by name.
         """
-        _logger.log(level, message, extra={'fields': fields})
+        _logger.log(level, message, fields=fields)
 
     def record(self, decision: affinity.Record) -> None:
         """Write a line for a decision.
@@ -61,8 +72,12 @@
         if decision.upstream:
             fields['upstream'] = decision.upstream
         fields.update(decision.details)
-        extra = {'fields': fields, 'is_budgeted': bool(decision.flow)}
-        _logger.info(decision.kind, extra=extra)
+        _logger.log(
+            late_log.INFO,
+            decision.kind,
+            fields=fields,
+            is_budgeted=bool(decision.flow),
+        )
 
     def note_dependency(self, now: float, name: str, reason: str) -> None:
         """Write a line when a dependency is lost, and when it is back.
@@ -76,7 +91,7 @@
             self._lost[name] = now
             self.log(
                 'dependency',
-                logging.WARNING,
+                late_log.WARNING,
                 name=name,
                 reason='lost',
                 cause=reason,
@@ -86,9 +101,18 @@
             away = int((now - lost_at) * 1000)
             self.log('dependency', name=name, reason='regained', away_ms=away)
 
+    def open(self) -> None:
+        """Load what writes lines and hand it those that were held."""
+        if self._handler is None:
+            from skylarkfold.forwarder import _lines
+
+            self._handler = _lines.configure(self._instance, self._settings)
+            _logger.release()
+
     def flush(self) -> None:
         """Write waiting lines as far as they are read."""
-        self._handler.flush()
+        if self._handler is not None:
+            self._handler.flush()
 
     def format_metrics(
         self, core: affinity.AffinityCore, gauges: dict[str, float]
@@ -110,5 +134,8 @@
         :returns: totals by name.
         """
         totals = {**core.tally.counters, **self.counters}
-        totals[_metrics.LINES_LEFT_OUT] = self._handler.left_out
+        left_out = _logger.left_out
+        if self._handler is not None:
+            left_out += self._handler.left_out
+        totals[_metrics.LINES_LEFT_OUT] = left_out
         return dict(sorted(totals.items()))
--- a/skylarkfold/measure/_overload_fleet.py
+++ b/skylarkfold/measure/_overload_fleet.py
@@ -393,9 +393,7 @@
 def _add_loads(one: object, other: object) -> object:
     if other is None:
         return one
-    if isinstance(one, tuple):
-        return type(one)(*map(sum, zip(one, other)))
-    return one + other
+    return one + other if isinstance(one, int) else one.add(other)
 
 
 def _list_load(core: affinity.AffinityCore, now: float) -> dict[int, int]:
--- a/skylarkfold/measure/start.py
+++ b/skylarkfold/measure/start.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import signal
+import socket
 import statistics
 import subprocess
 import sys
@@ -31,7 +32,10 @@
 _KIBIBYTES = 1024
 _LOOK_SECONDS = 0.002
 _LONGEST_SECONDS = 30.0
-_READY = b'"message":"ready"'
+_HOST = '127.0.0.9'
+_ANSWER_SECONDS = 0.5
+_ANSWER_BYTES = 1024
+_READY = b' 200 '
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,6 +108,16 @@
     return used.ru_utime + used.ru_stime
 
 
+def _is_ready(address: tuple[str, int]) -> bool:
+    try:
+        with socket.create_connection(address, _ANSWER_SECONDS) as asked:
+            asked.sendall(b'GET / HTTP/1.1\r\nHost: instance\r\n\r\n')
+            return _READY in asked.recv(_ANSWER_BYTES)
+    except OSError:
+        # It does not listen yet.
+        return False
+
+
 def _read_peak(status: str) -> float:
     for line in status.splitlines():
         if line.startswith('VmHWM:'):
@@ -133,7 +147,6 @@
     loop: reactor.Loop, server: packets.StoreServer, folder: pathlib.Path
 ) -> tuple[float, float]:
     path = folder / 'instance.settings'
-    log_path = folder / 'log'
     port = server.address[1]
     packets.write_settings(
         path, 'one', 'a', '127.0.0.9', port, [], server.address
@@ -144,13 +157,14 @@
         PYTHONPATH=os.pathsep.join([str(_ROOT), *filter(None, sys.path)]),
     )
     command = [sys.executable, '-S', '-m', 'skylarkfold.platform']
-    with open(log_path, 'wb') as log:
-        process = subprocess.Popen(command, env=environment, stdout=log)
+    process = subprocess.Popen(
+        command, env=environment, stdout=subprocess.DEVNULL
+    )
     limit = time.monotonic() + _LONGEST_SECONDS
 
     def look() -> None:
         is_over = time.monotonic() > limit or process.poll() is not None
-        if _READY in log_path.read_bytes() or is_over:
+        if is_over or _is_ready((_HOST, port + 1)):
             loop.stop()
         else:
             loop.call_later(_LOOK_SECONDS, look)
--- a/skylarkfold/measure/token.py
+++ b/skylarkfold/measure/token.py
@@ -18,6 +18,7 @@
 from skylarkfold.forwarder import _lines
 from skylarkfold.forwarder import _own
 from skylarkfold.forwarder import _reporter
+from skylarkfold import late_log
 from skylarkfold.platform import _packet
 from skylarkfold.standin.packets import _wire
 
@@ -93,7 +94,7 @@
 @contextlib.contextmanager
 def _open_nowhere() -> Iterator[int]:
     """Give a descriptor for lines, and leave the logger as it was."""
-    logger = logging.getLogger(_lines.LOGGER_NAME)
+    logger = logging.getLogger(late_log.NAME)
     before = logger.handlers[:], logger.propagate, logger.level
     nowhere = os.open(os.devnull, os.O_WRONLY)
     try:
@@ -197,8 +198,9 @@
         for caller in range(_PACKETS * _TIMES)
     ]
     reporter = _reporter.Reporter('measured', settings)
+    late_log.LOGGER.release()
     handler = _lines.LineHandler('measured', settings, nowhere)
-    logger = logging.getLogger(_lines.LOGGER_NAME)
+    logger = logging.getLogger(late_log.NAME)
 
     def run(number: int) -> None:
         logger.handlers[:] = [handler]
--- a/skylarkfold/platform/__main__.py
+++ b/skylarkfold/platform/__main__.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import socket
 import sys
@@ -30,6 +31,8 @@
 
     :returns: the exit status.
     """
+    # Enabled again by the forwarder; its passes take a twentieth of a start.
+    gc.disable()
     try:
         path = os.environ.get(PATH_VARIABLE, '')
         if not path:
--- a/skylarkfold/platform/_objects.py
+++ b/skylarkfold/platform/_objects.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-import logging
 
 from skylarkfold import affinity
 from skylarkfold import errors
+from skylarkfold import late_log
 from skylarkfold import relay
 
 # The kinds of objects that an instance follows.
@@ -19,7 +19,7 @@
 _DRAINING = 'draining'
 _ID_BITS = 64
 
-_logger = logging.getLogger('skylarkfold')
+_logger = late_log.LOGGER
 
 
 def decode_routes(
@@ -148,4 +148,4 @@
         'revision': item.revision,
         'error': repr(error),
     }
-    _logger.warning('object', extra={'fields': fields})
+    _logger.warning('object', fields=fields)
--- a/skylarkfold/reactor/_http.py
+++ b/skylarkfold/reactor/_http.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import logging
 
 import httptools
 
+from skylarkfold import late_log
 from skylarkfold.reactor import _loop
 from skylarkfold.reactor import _stream
 
@@ -27,7 +27,7 @@
 _NO_ANSWER = 0
 _REASONS = {200: 'OK', 404: 'Not Found', 503: 'Service Unavailable'}
 
-_logger = logging.getLogger('skylarkfold')
+_logger = late_log.LOGGER
 
 Answered = Callable[[int, bytes], object]
 
--- a/skylarkfold/reactor/_loop.py
+++ b/skylarkfold/reactor/_loop.py
@@ -4,16 +4,17 @@
 
 from collections.abc import Callable
 import heapq
-import logging
 import selectors
 import signal
 import socket
 import time
 
+from skylarkfold import late_log
+
 READ = selectors.EVENT_READ
 WRITE = selectors.EVENT_WRITE
 
-_logger = logging.getLogger('skylarkfold')
+_logger = late_log.LOGGER
 
 # Wakes a loop without timers; nothing depends on the value.
 _LONGEST_WAIT_SECONDS = 10.0
--- a/skylarkfold/reactor/_stream.py
+++ b/skylarkfold/reactor/_stream.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Callable
 import errno
-import logging
 import socket
 
+from skylarkfold import late_log
 from skylarkfold.reactor import _loop
 
 _PORTION_BYTES = 64 * 1024
@@ -16,7 +16,7 @@
 # What may wait for a peer that does not read; more ends the stream.
 MAXIMUM_WAITING_BYTES = 4 * 1024 * 1024
 
-_logger = logging.getLogger('skylarkfold')
+_logger = late_log.LOGGER
 
 
 class Stream:
--- a/skylarkfold/tests/forwarder/test_lines.py
+++ b/skylarkfold/tests/forwarder/test_lines.py
@@ -85,3 +85,20 @@
         handler = _lines.LineHandler('one', _own.LogSettings(), writer)
         self.emit(handler)
         handler.flush()
+
+    def test_a_line_that_was_held_has_the_time_at_which_it_was_said(self):
+        handler = self.build()
+        self.emit(handler, created=1000.5)
+        handler.flush()
+        (line,) = self.read()
+        self.assertEqual(1000.5, line['time'])
+
+    def test_held_lines_have_the_budget_of_their_own_times(self):
+        handler = self.build(lines_per_second=1, burst_lines=1)
+        for at in (1.0, 1.5, 2.0, 2.5):
+            self.emit(handler, str(at), is_budgeted=True, at=at)
+        handler.flush()
+        messages = [line['message'] for line in self.read()]
+        self.assertIn('1.0', messages)
+        self.assertIn('2.0', messages)
+        self.assertEqual(2, handler.left_out)
--- a/skylarkfold/upstream_load.py
+++ b/skylarkfold/upstream_load.py
@@ -2,19 +2,28 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
 
-
-class UpstreamLoad(NamedTuple):
+class UpstreamLoad:
     """What an instance, or all of an availability zone, carry of it.
 
-    :ivar flows: flows that were seen lately.
-    :ivar busy: requests of these that the upstream had at a time, on
+    :param flows: flows that were seen lately.
+    :param busy: requests of these that the upstream had at a time, on
         average since the word before.
     """
 
-    flows: int
-    busy: float
+    __slots__ = ('busy', 'flows')
+
+    def __init__(self, flows: int, busy: float) -> None:
+        self.flows = flows
+        self.busy = busy
+
+    def __eq__(self, other: object) -> bool:
+        if not isinstance(other, UpstreamLoad):
+            return NotImplemented
+        return (self.flows, self.busy) == (other.flows, other.busy)
+
+    def __hash__(self) -> int:
+        return hash((self.flows, self.busy))
 
     def add(self, other: 'UpstreamLoad') -> 'UpstreamLoad':
         """Add what others carry of the same upstream.
