Reports of load cost no more than control may

At 3,800 upstreams a beacon would have had 30 KB.

Change: reports of an instance's own load, of other zones' and of its own zone's are each spaced to 2.5 KB a second, and name the 256 busiest upstreams at most. Seven instances before ten upstreams tell with each beacon as before.

--- a/skylarkfold/relay/_announcer.py
+++ b/skylarkfold/relay/_announcer.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import heapq
+
 from skylarkfold.relay import _codec
 from skylarkfold.relay import _effect
 from skylarkfold.relay import _item
 from skylarkfold.relay import _messages
+from skylarkfold.relay import _pace
 from skylarkfold.relay import _peer
 from skylarkfold.relay import _peers
 from skylarkfold.relay import _settings
@@ -26,6 +29,8 @@
     """
 
     __slots__ = (
+        '_far_pace',
+        '_near_pace',
         '_next_slow_far',
         '_next_slow_near',
         '_own',
@@ -33,6 +38,7 @@
         '_settings',
         '_topics',
         '_zone_loads',
+        '_zones_pace',
     )
 
     def __init__(
@@ -47,6 +53,10 @@
         self._topics = topics
         self._settings = settings
         # Loads of other zones with the time of each.
+        budget = settings.load_bytes_per_second
+        self._near_pace = _pace.LoadPace(budget)
+        self._far_pace = _pace.LoadPace(budget)
+        self._zones_pace = _pace.LoadPace(budget)
         self._zone_loads: dict[str, tuple[float, _Loads]] = {}
         self._next_slow_near = _NEVER
         self._next_slow_far = _NEVER
@@ -137,17 +147,16 @@
         if not hosts:
             return []
         own = self._own
-        loads = [_messages.LoadReport(own.name, False, 0.0, own.loads)]
+        loads: list[_messages.LoadReport] = []
+        if self._near_pace.is_due(now):
+            loads.append(self._report(own.name, False, 0.0, own.loads))
+            self._near_pace.note(now, loads, len(hosts))
         hearsay: tuple[_messages.Hearsay, ...] = ()
         ages: dict[int, float] = {}
         if now >= self._next_slow_near:
             self._next_slow_near = now + self._settings.slow_seconds
             hearsay, ages = self._peers.gossip.tell_mates(now)
-            loads += [
-                _messages.LoadReport(zone, True, max(0.0, now - at), loads)
-                for zone, (at, loads) in self._zone_loads.items()
-                if now - at <= 2 * self._settings.slow_seconds
-            ]
+            loads += self._report_zones(now, len(hosts))
         beacon = self.build(now, loads=tuple(loads), hearsay=hearsay)
         beacon.ages = ages
         beacon.silent = self._peers.gossip.list_silent(now, is_near=True)
@@ -167,13 +176,39 @@
         if now >= self._next_slow_far:
             self._next_slow_far = now + self._settings.slow_seconds
             hearsay = self._peers.gossip.choose_heads(now)
-            total = self._peers.sum_loads()
-            report = _messages.LoadReport(self._own.zone, True, 0.0, total)
-            loads = (report,)
+            if self._far_pace.is_due(now):
+                total = self._peers.sum_loads()
+                loads = (self._report(self._own.zone, True, 0.0, total),)
+                self._far_pace.note(now, loads, len(hosts))
         beacon = self.build(now, loads=loads, hearsay=hearsay)
         beacon.silent = self._peers.gossip.list_silent(now, is_near=False)
         return [_effect.SendBeacon(hosts, beacon)]
 
+    def _report_zones(
+        self, now: float, hosts: int
+    ) -> list[_messages.LoadReport]:
+        if not self._zones_pace.is_due(now):
+            return []
+        reports = [
+            self._report(zone, True, max(0.0, now - at), loads)
+            for zone, (at, loads) in self._zone_loads.items()
+            if now - at <= 2 * self._settings.slow_seconds
+        ]
+        self._zones_pace.note(now, reports, hosts)
+        return reports
+
+    def _report(
+        self, source: str, is_zone: bool, age_seconds: float, loads: _Loads
+    ) -> _messages.LoadReport:
+        if len(loads) > self._settings.load_entries:
+            busiest = heapq.nlargest(
+                self._settings.load_entries,
+                loads.items(),
+                key=lambda each: (each[1].busy, each[1].flows),
+            )
+            loads = dict(busiest)
+        return _messages.LoadReport(source, is_zone, age_seconds, loads)
+
     def approach(self, now: float, hosts: list[str]) -> list[object]:
         """Ask at hosts that nothing is heard of.
 
--- a/skylarkfold/relay/_settings.py
+++ b/skylarkfold/relay/_settings.py
@@ -30,6 +30,12 @@
     :param far_seconds: the same towards other zones, whose bytes are dear;
         changes are told at once.
     :param slow_seconds: how often names and the loads of zones are added.
+    :param load_entries: upstreams in one report of loads at most, the
+        busiest first: 256 take 2 KB, which one datagram carries.
+    :param load_bytes_per_second: what each of three kinds of reports may cost
+        an instance: its own load and those of other zones, told within its
+        zone, and its zone's, told to others. They come less often where
+        they are large. With 3 KB at rest that is 10.5 KB a second.
     :param first_seconds: how long a new instance waits for a peer to
         answer before it asks the store; peers answer within 10 ms.
     :param seed_seconds: how often seeds that nobody known has are tried,
@@ -68,6 +74,8 @@
         'gather_seconds',
         'hearsay_seconds',
         'least_backoff_seconds',
+        'load_bytes_per_second',
+        'load_entries',
         'most_backoff_seconds',
         'overdue_seconds',
         'pause_seconds',
@@ -99,6 +107,8 @@
         beacon_seconds: float = 0.2,
         far_seconds: float = 0.4,
         slow_seconds: float = 1.0,
+        load_entries: int = 256,
+        load_bytes_per_second: float = 2500.0,
         first_seconds: float = 0.015,
         seed_seconds: float = 1.0,
         seed_members: int = 12,
@@ -124,6 +134,8 @@
         self.beacon_seconds = beacon_seconds
         self.far_seconds = far_seconds
         self.slow_seconds = slow_seconds
+        self.load_entries = load_entries
+        self.load_bytes_per_second = load_bytes_per_second
         self.first_seconds = first_seconds
         self.seed_seconds = seed_seconds
         self.seed_members = seed_members
