--- a/skylarkfold/affinity/_admission.py
+++ b/skylarkfold/affinity/_admission.py
@@ -91,24 +91,18 @@
         return _work.Estimate(own.seconds, wait, queue.seconds)
 
     def is_refused(
-        self,
-        now: float,
-        route: _route.Route,
-        standing: _standing.Standing,
-        hashed: int,
+        self, route: _route.Route, expected: _work.Estimate, hashed: int
     ) -> bool:
         """Tell whether a new flow is refused.
 
-        :param now: the time.
         :param route: its route.
-        :param standing: the upstream that it would go to.
+        :param expected: when its request would be answered.
         :param hashed: its hash.
         :returns: whether it is.
         """
         if not route.aim_seconds:
             return False
         settings = self._settings
-        expected = self.estimate(now, route, standing)
         if route.is_preferred:
             least, limit = settings.preferred_share, settings.preferred_limit
             share = expected.seconds / route.aim_seconds
--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -20,6 +20,7 @@
 from skylarkfold.affinity import _standing
 from skylarkfold.affinity import _tally
 from skylarkfold.affinity import _upstream
+from skylarkfold.affinity import _work
 from skylarkfold import upstream_load
 
 Reason = _effect.Reason
@@ -150,6 +151,10 @@
             if standing.flows > 0
         }
 
+    def count_busy(self) -> int:
+        """Count the requests in flight of this instance's flows."""
+        return sum(standing.busy for standing in self._directory)
+
     def count_flows(self) -> int:
         """Count the flows that this instance carries."""
         return sum(standing.flows for standing in self._directory)
@@ -264,13 +269,13 @@
         standing = self._opener.choose(now, service, hashed)
         if standing is None:
             return self._refuse(packet, Reason.NO_UPSTREAM)
-        if not is_copy and self._admission.is_refused(
-            now, route, standing, hashed
-        ):
-            return self._refuse_crowded(now, packet, route, standing)
+        expected = self._admission.estimate(now, route, standing)
+        waits = self.tally.histograms[_tally.WAIT_SECONDS]
+        waits.observe(expected.wait_seconds)
+        if not is_copy and self._admission.is_refused(route, expected, hashed):
+            return self._refuse_crowded(packet, route, standing, expected)
         flow = _flow.Flow(packet.flow, standing, now)
         flow.is_idempotent = route.is_idempotent
-        flow.aim_seconds = route.aim_seconds
         flow.first = packet.data
         self._flows.add(flow)
         return self._opener.send(
@@ -302,7 +307,6 @@
             route = self._routes.get(packet.address)
             if route is not None:
                 flow.is_idempotent = route.is_idempotent
-                flow.aim_seconds = route.aim_seconds
             # Its former instance may have passed on a request.
             flow.acknowledged = packet.acknowledged
             flow.is_open = True
@@ -367,12 +371,11 @@
 
     def _refuse_crowded(
         self,
-        now: float,
         packet: _packet.Packet,
         route: _route.Route,
         standing: _standing.Standing,
+        expected: _work.Estimate,
     ) -> list[object]:
-        expected = self._admission.estimate(now, route, standing)
         details = {
             'service': standing.upstream.service,
             'upstream': standing.upstream.name,
@@ -380,6 +383,7 @@
             'wait_ms': _ending.to_ms(expected.wait_seconds),
             'aim_ms': _ending.to_ms(route.aim_seconds),
             'waiting': round(standing.waiting, 1),
+            'priority': route.priority,
         }
         return self._refuse(packet, Reason.CROWDED, details)
 
--- a/skylarkfold/affinity/_flow.py
+++ b/skylarkfold/affinity/_flow.py
@@ -32,8 +32,6 @@
     :ivar acknowledged: the caller's highest acknowledgement.
     :ivar first: its first packet, kept until it is open.
     :ivar tried: names of the upstreams that got its first packet.
-    :ivar aim_seconds: how soon its requests want to be answered; 0 where
-        that is not known.
     :ivar is_idempotent: whether its requests may run more than once.
     :ivar is_counted: whether it counts for its upstream's load.
     :ivar is_busy: whether its upstream has a request of it.
@@ -44,7 +42,6 @@
     __slots__ = (
         'acknowledged',
         'ahead',
-        'aim_seconds',
         'begun_at',
         'doubted_wait',
         'first',
@@ -74,9 +71,8 @@
         self.is_closed = False
         self.is_counted = False
         self.is_busy = False
-        self.ahead = 0.0
+        self.ahead = 0
         self.is_idempotent = False
-        self.aim_seconds = 0.0
         self.waiting_since: float | None = None
         self.doubted_wait: float | None = None
         self.sent: int | None = None
@@ -213,7 +209,8 @@
     """
     if not flow.is_busy:
         flow.is_busy = True
-        flow.ahead = flow.standing.waiting
+        # A whole number: small ones take no memory of their own.
+        flow.ahead = round(flow.standing.waiting)
         flow.standing.change_busy(now, 1)
 
 
--- a/skylarkfold/affinity/_placement.py
+++ b/skylarkfold/affinity/_placement.py
@@ -95,19 +95,32 @@
     hashed: int,
     settings: _settings.AffinitySettings,
 ) -> _standing.Standing:
-    flows = sum(each.load for each in standings)
-    waiting = sum(each.waiting for each in standings)
+    # Every new flow passes here: two plain loops over the upstreams.
+    flows = 0
+    waiting = capacity = 0.0
+    for each in standings:
+        flows += each.flows + each.remote_flows
+        waiting += each.busy + each.remote_busy
+        capacity += each.compute_capacity(now)
     # What a flow brings, on average.
     rate = max(waiting / flows, _LEAST_RATE) if flows else 0.0
-    capacity = sum(each.compute_capacity(now) for each in standings)
     mean = (waiting + rate * flows + len(standings)) / capacity
     limit = (1 + settings.near_tolerance) * mean
-    near = [each for each in standings if each.upstream.zone == zone]
-    if near:
-        chosen = _find_least(now, near, hashed, rate, settings)
-        if _compute_load(now, chosen, rate, settings) <= limit:
-            return chosen
-    return _find_least(now, standings, hashed, rate, settings)
+    least = nearest = None
+    least_load = nearest_load = float('inf')
+    for each in standings:
+        load = _compute_load(now, each, rate, settings)
+        if load <= least_load and (
+            load < least_load or _goes_before(each, least, hashed)
+        ):
+            least, least_load = each, load
+        if (
+            load <= nearest_load
+            and each.upstream.zone == zone
+            and (load < nearest_load or _goes_before(each, nearest, hashed))
+        ):
+            nearest, nearest_load = each, load
+    return nearest if nearest_load <= limit else least
 
 
 def _compute_load(
@@ -116,24 +129,20 @@
     rate: float,
     settings: _settings.AffinitySettings,
 ) -> float:
-    work = standing.waiting + rate * standing.load + 1
+    flows = standing.flows + standing.remote_flows
+    work = standing.busy + standing.remote_busy + rate * flows + 1
     load = work / standing.compute_capacity(now)
     # One that fails at once has little to do and would draw all flows.
     return load * (1 + settings.haste_weight * standing.hasty_share)
 
 
-def _find_least(
-    now: float,
-    standings: list[_standing.Standing],
-    hashed: int,
-    rate: float,
-    settings: _settings.AffinitySettings,
-) -> _standing.Standing:
-    return min(
-        standings,
-        key=lambda each: (
-            _compute_load(now, each, rate, settings),
-            # Any mixture that differs by flow and upstream will do.
-            (hashed ^ each.upstream.number * 0x9E3779B1) & 0xFFFFFFFF,
-        ),
-    )
+def _goes_before(
+    one: _standing.Standing, other: _standing.Standing, hashed: int
+) -> bool:
+    """Decide between equals, for each flow in another way."""
+    return _mix(one, hashed) < _mix(other, hashed)
+
+
+def _mix(standing: _standing.Standing, hashed: int) -> int:
+    # Any mixture that differs by flow and upstream will do.
+    return (hashed ^ standing.upstream.number * 0x9E3779B1) & 0xFFFFFFFF
--- a/skylarkfold/affinity/_tally.py
+++ b/skylarkfold/affinity/_tally.py
@@ -18,6 +18,8 @@
 OPEN_SECONDS = 'open_seconds'
 ANSWER_SECONDS = 'answer_seconds'
 DOUBT_SECONDS = 'doubt_seconds'
+# How long the request of a new flow is expected to wait for a slot.
+WAIT_SECONDS = 'wait_seconds'
 
 
 class Tally:
@@ -33,7 +35,12 @@
         self.counters: collections.Counter[str] = collections.Counter()
         self.histograms = {
             name: histogram.Histogram()
-            for name in (OPEN_SECONDS, ANSWER_SECONDS, DOUBT_SECONDS)
+            for name in (
+                OPEN_SECONDS,
+                ANSWER_SECONDS,
+                DOUBT_SECONDS,
+                WAIT_SECONDS,
+            )
         }
 
     def count(self, name: str, reason: str) -> None:
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -363,6 +363,7 @@
             'version': float(self._affinity.version),
             'upstreams': float(len(self._affinity.directory)),
             'flows': float(self._affinity.count_flows()),
+            'busy': float(self._affinity.count_busy()),
             'peers': float(len(self._relay.peers.list_neighbours())),
         }
         for topic in (
--- a/skylarkfold/tests/affinity/test_admission.py
+++ b/skylarkfold/tests/affinity/test_admission.py
@@ -57,11 +57,11 @@
 def count_refused(admission, standing, address=samples.ADDRESS, **fields):
     """Count how many of new flows would be refused."""
     route = build_routes(**fields).get(address)
+    expected = admission.estimate(0.0, route, standing)
     return sum(
         admission.is_refused(
-            0.0,
             route,
-            standing,
+            expected,
             _placement.hash_flow(samples.build_flow(port, address)),
         )
         for port in range(1000, 1000 + FLOWS)
@@ -155,11 +155,13 @@
         )
 
         def count(address, waiting):
+            route = table.get(address)
+            standing = build_standing(waiting)
+            expected = admission.estimate(0.0, route, standing)
             return sum(
                 admission.is_refused(
-                    0.0,
-                    table.get(address),
-                    build_standing(waiting),
+                    route,
+                    expected,
                     _placement.hash_flow(samples.build_flow(port, address)),
                 )
                 for port in range(FLOWS)
@@ -203,6 +205,9 @@
         self.assertGreater(details['estimate_ms'], 60)
         self.assertGreater(details['wait_ms'], 40)
         self.assertGreater(details['waiting'], 4)
+        self.assertEqual(1, details['priority'])
+        waits = core.tally.histograms['wait_seconds']
+        self.assertEqual(50, waits.count)
 
     def test_a_copy_is_not_refused(self):
         # Another instance may have placed the flow, and it may be open.
