--- a/skylarkfold/measure/_overload_fleet.py
+++ b/skylarkfold/measure/_overload_fleet.py
@@ -12,22 +12,15 @@
 from skylarkfold.measure import _overload_upstream
 from skylarkfold.measure import _overload_world
 
-Change = _overload_pattern.Change
 Outcome = _overload_upstream.Outcome
 
 # As often as the daemon looks at what is due and tells its load.
 _TICK_SECONDS = 0.01
 _LOAD_SECONDS = 0.2
-# Loads of zones, added up by their first delegate, come this late, and
-# an upstream's entry.
+# Loads of zones, added up by their first delegate, come this late.
 _ZONE_LOAD_SECONDS = 0.5
-_ENTRY_SECONDS = 0.1
 # A word between instances of one zone.
 _WORD_SECONDS = 0.001
-_DRAIN_SECONDS = 3.0
-_RELEASE_PAUSE_SECONDS = 1.0
-# Of an upstream that joins.
-JOINING_SLOTS = 2
 
 
 class Policy:
@@ -71,6 +64,7 @@
     :param policy: what decides.
     :param requests: what callers ask.
     :param seed: of what upstreams draw.
+    :ivar cut_zone: the zone that is cut off; empty for none.
     """
 
     def __init__(
@@ -89,7 +83,7 @@
         self._pattern = pattern
         self._policy = policy
         self._draw = random.Random(f'upstreams {seed}')
-        self._cut_zone = ''
+        self.cut_zone = ''
         self._performers: dict[str, Callable[[Instance, object], None]] = {
             'Forward': self._forward,
             'Reset': self._reset,
@@ -99,15 +93,13 @@
         }
         zones = _overload_pattern.ZONES
         for number, slots in enumerate(pattern.slots):
-            self._add_upstream(zones[number % len(zones)], slots)
+            self.add_upstream(zones[number % len(zones)], slots)
         self.instances = [
             Instance(f'entry-{number}', zones[number % len(zones)], None)
             for number in range(pattern.instances)
         ]
-        self._start_all()
+        self.start_all()
         self.callers.expect(requests)
-        for trouble in pattern.troubles:
-            self.clock.call(trouble.at, self._begin, trouble)
         self.clock.call(0.0, self._tick)
         self.clock.call(0.0, self._tell_loads)
 
@@ -118,7 +110,8 @@
         """
         self.clock.run(seconds)
 
-    def _start_all(self) -> None:
+    def start_all(self) -> None:
+        """Start all instances, which know nothing of earlier flows."""
         for each in self.instances:
             each.core = self._policy.build(each.zone)
             routes = [
@@ -133,11 +126,17 @@
             ]
             table = affinity.RouteTable(1, routes)
             each.core.set_routes(self.clock.now, table)
-        self._tell_upstreams()
+        self.tell_upstreams()
 
-    def _add_upstream(
+    def add_upstream(
         self, zone: str, slots: int
     ) -> _overload_upstream.ModelUpstream:
+        """Add an upstream, of which instances have yet to hear.
+
+        :param zone: its availability zone.
+        :param slots: its slots.
+        :returns: the upstream.
+        """
         number = len(self.upstreams) + 1
         upstream = _overload_upstream.ModelUpstream(
             f'i-{number:010x}',
@@ -151,7 +150,8 @@
         self.upstreams.append(upstream)
         return upstream
 
-    def _tell_upstreams(self) -> None:
+    def tell_upstreams(self) -> None:
+        """Have all instances take the list of upstreams."""
         entries = [
             affinity.Upstream(
                 each.name,
@@ -197,7 +197,7 @@
                 perform(instance, each)
 
     def _reaches(self, zone: str, other: str) -> bool:
-        return zone == other or self._cut_zone not in (zone, other)
+        return zone == other or self.cut_zone not in (zone, other)
 
     def _forward(self, instance: Instance, wanted: affinity.Forward) -> None:
         upstream = self.upstreams[wanted.upstream.number - 1]
@@ -324,79 +324,6 @@
         if instance.core is not None:
             instance.core.take_load(self.clock.now, source, load)
 
-    def _begin(self, trouble: _overload_pattern.Trouble) -> None:
-        begin = {
-            Change.SLOW: self._slow,
-            Change.HANG: self._hang,
-            Change.ERRORS: self._fail,
-            Change.JOIN: self._join,
-            Change.RELEASE: self._release,
-            Change.CUT: self._cut,
-            Change.OUTAGE: self._stop_all,
-        }.get(trouble.change)
-        if begin is not None:
-            begin(trouble)
-
-    def _pick(
-        self, trouble: _overload_pattern.Trouble
-    ) -> list[_overload_upstream.ModelUpstream]:
-        return self.upstreams[: trouble.count]
-
-    def _slow(self, trouble: _overload_pattern.Trouble) -> None:
-        self._set_for(trouble, 'slow_times', trouble.times, 1.0)
-
-    def _hang(self, trouble: _overload_pattern.Trouble) -> None:
-        self._set_for(trouble, 'hang_share', trouble.times, 0.0)
-
-    def _fail(self, trouble: _overload_pattern.Trouble) -> None:
-        self._set_for(trouble, 'error_share', trouble.times, 0.0)
-
-    def _set_for(
-        self,
-        trouble: _overload_pattern.Trouble,
-        name: str,
-        value: float,
-        calm: float,
-    ) -> None:
-        for each in self._pick(trouble):
-            setattr(each, name, value)
-            self.clock.call(trouble.seconds, setattr, each, name, calm)
-
-    def _join(self, trouble: _overload_pattern.Trouble) -> None:
-        zones = _overload_pattern.ZONES
-        for number in range(trouble.count):
-            upstream = self._add_upstream(
-                zones[number % len(zones)], JOINING_SLOTS
-            )
-            upstream.begin_cold()
-        self.clock.call(_ENTRY_SECONDS, self._tell_upstreams)
-
-    def _release(self, trouble: _overload_pattern.Trouble) -> None:
-        for number, each in enumerate(self._pick(trouble)):
-            pause = number * _RELEASE_PAUSE_SECONDS
-            self.clock.call(pause, self._replace, each)
-
-    def _replace(self, upstream: _overload_upstream.ModelUpstream) -> None:
-        self._add_upstream(upstream.zone, upstream.slots).begin_cold()
-        upstream.is_draining = True
-        self.clock.call(_ENTRY_SECONDS, self._tell_upstreams)
-        self.clock.call(_DRAIN_SECONDS, self._end_upstream, upstream)
-
-    def _end_upstream(
-        self, upstream: _overload_upstream.ModelUpstream
-    ) -> None:
-        upstream.is_gone = True
-        self.clock.call(_ENTRY_SECONDS, self._tell_upstreams)
-
-    def _cut(self, trouble: _overload_pattern.Trouble) -> None:
-        self._cut_zone = trouble.zone
-        self.clock.call(trouble.seconds, setattr, self, '_cut_zone', '')
-
-    def _stop_all(self, trouble: _overload_pattern.Trouble) -> None:
-        for each in self.instances:
-            each.core = None
-        self.clock.call(trouble.seconds, self._start_all)
-
 
 def _add_loads(one: object, other: object) -> object:
     if other is None:
--- a/skylarkfold/measure/overload.py
+++ b/skylarkfold/measure/overload.py
@@ -20,6 +20,7 @@
 from skylarkfold.measure import _overload_oracle
 from skylarkfold.measure import _overload_pattern
 from skylarkfold.measure import _overload_random
+from skylarkfold.measure import _overload_trouble
 
 End = _overload_callers.End
 Change = _overload_pattern.Change
@@ -147,11 +148,8 @@
     :param seed: of all that is drawn.
     :returns: how it went.
     """
-    requests = draw_requests(pattern, seed)
     policy = _overload_fleet.Policy(settings)
-    fleet = _overload_fleet.Fleet(pattern, policy, requests, seed)
-    fleet.run(_overload_pattern.SECONDS)
-    return _judge(pattern, 'product', fleet)
+    return _judge(pattern, 'product', _play(pattern, policy, seed))
 
 
 def play_fleet(
@@ -164,8 +162,17 @@
     :param seed: of all that is drawn.
     :returns: the fleet with its requests, at the end.
     """
+    return _play(pattern, _POLICIES[policy](), seed)
+
+
+def _play(
+    pattern: _overload_pattern.Pattern,
+    policy: _overload_fleet.Policy,
+    seed: int,
+) -> _overload_fleet.Fleet:
     requests = draw_requests(pattern, seed)
-    fleet = _overload_fleet.Fleet(pattern, _POLICIES[policy](), requests, seed)
+    fleet = _overload_fleet.Fleet(pattern, policy, requests, seed)
+    _overload_trouble.Troubles(fleet, pattern)
     fleet.run(_overload_pattern.SECONDS)
     return fleet
 
@@ -264,7 +271,7 @@
         if each.change == Change.OUTAGE:
             began = max(began, each.at + each.seconds)
         if each.change == Change.JOIN:
-            slots = each.count * _overload_fleet.JOINING_SLOTS
+            slots = each.count * _overload_trouble.JOINING_SLOTS
             joined += [each.at] * slots
     return [began] * sum(pattern.slots) + joined
 
