--- a/skylarkfold/late_log.py
+++ b/skylarkfold/late_log.py
@@ -74,11 +74,6 @@
         self._logger: object = None
         self.left_out = 0
 
-    @property
-    def is_holding(self) -> bool:
-        """Whether lines wait."""
-        return self._held is not None
-
     def hold(self, limit: int) -> None:
         """Have lines wait from now on.
 
--- a/skylarkfold/measure/_overload_callers.py
+++ b/skylarkfold/measure/_overload_callers.py
@@ -102,7 +102,6 @@
         'is_closed',
         'key',
         'kind',
-        'opened_at',
         'request',
         'sequence',
         'upstream',
@@ -116,7 +115,6 @@
         self.key = key
         self.kind = kind
         self.zone = zone
-        self.opened_at = now
         self.used_at = now
         self.upstream: _overload_upstream.ModelUpstream | None = None
         self.request: Request | None = None
@@ -145,11 +143,6 @@
         self._idle: dict[tuple[str, int, str], list[CallerFlow]] = {}
         self._flows: dict[bytes, CallerFlow] = {}
 
-    @property
-    def flows(self) -> int:
-        """How many flows were opened."""
-        return len(self._flows)
-
     def expect(self, requests: Iterable[Request]) -> None:
         """Have requests asked at their times.
 
