--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -57,6 +57,8 @@
             zone, settings, self._directory, self._health, self.tally
         )
         self._held = _held.HeldPackets()
+        self._present: tuple[_upstream.Upstream, ...] = ()
+        self._present_at = float('-inf')
         self._has_upstreams = False
         self._confirmed_at = float('-inf')
         self._next_active = float('-inf')
@@ -89,10 +91,14 @@
         """
         if routes.version <= self._routes.version:
             return []
-        self._routes = routes
+        before, self._routes = self._routes, routes
         details = {'version': routes.version, 'routes': len(routes)}
-        record = _effect.Record('routes', 'in-force', details=details)
-        return [record, *self._release(now)]
+        effects: list[object] = [
+            _effect.Record('routes', 'in-force', details=details)
+        ]
+        if self._has_upstreams and routes.services != before.services:
+            effects += self._apply_present(now)
+        return effects + self._release(now)
 
     def set_upstreams(
         self, now: float, present: Iterable[_upstream.Upstream]
@@ -103,17 +109,51 @@
         :param present: every upstream that has an entry.
         :returns: effects.
         """
-        changes = self._directory.replace(now, present)
-        self._peer_loads.apply()
+        self._present = tuple(present)
         self._has_upstreams = True
+        return self._apply_present(now) + self._release(now)
+
+    def note_present(self, now: float) -> None:
+        """Note that the list of upstreams was the newest a moment ago.
+
+        :param now: when it was.
+        """
+        self._present_at = max(self._present_at, now)
+
+    def _apply_present(self, now: float) -> list[object]:
+        declared = self._routes.services
+        changes = self._directory.replace(
+            now,
+            [
+                each
+                for each in self._present
+                if not declared or each.service in declared
+            ],
+        )
+        self._peer_loads.apply()
         effects: list[object] = []
-        for standing, change in changes:
-            effects.append(_record_change(standing, change))
-            if change == _directory.Change.LAPSED:
-                effects += self._health.take_lapse(now, standing)
+        ended: dict[_standing.Standing, float] = {}
+        for change in changes:
+            effects.append(_record_change(change))
+            if change.kind == _directory.Change.LAPSED:
+                change.standing.present_at = self._present_at
+                effects += self._health.take_lapse(now, change.standing)
+            elif change.former is not None:
+                ended[change.former] = self._compute_end(change.former)
+        effects += self._ending.end_former(now, ended)
         replaced = [each for each in self._directory if each.is_replaced]
-        effects += self._ending.end_flows(now, replaced)
-        return effects + self._release(now)
+        return effects + self._ending.end_flows(now, replaced)
+
+    def _compute_end(self, former: _standing.Standing) -> float:
+        """Tell when a start that has ended was there for certain.
+
+        A flow that is open since before then is of that start; a later one
+        may be of the next, which serves before its entry is known here.
+        """
+        present_at = self._present_at
+        if former.lapsed_at is not None:
+            present_at = former.present_at
+        return present_at - self._settings.entry_seconds
 
     def note_confirmed(self, now: float) -> None:
         """Note that the routes were the newest a moment ago.
@@ -132,7 +172,7 @@
 
         :param now: the time.
         :param source: who they are; a later word replaces an earlier one.
-        :param loads: by token of their upstream.
+        :param loads: by incarnation of their upstream.
         """
         self._peer_loads.take(now, source, loads)
 
@@ -140,11 +180,11 @@
         """List what this instance carries, for its peers.
 
         :param now: the time.
-        :returns: by token of their upstream; requests on average since
-            this was last asked.
+        :returns: by incarnation of their upstream; requests on average
+            since this was last asked.
         """
         return {
-            standing.upstream.token: upstream_load.UpstreamLoad(
+            standing.upstream.incarnation: upstream_load.UpstreamLoad(
                 standing.flows, standing.take_mean_busy(now)
             )
             for standing in self._directory
@@ -169,7 +209,7 @@
         if packet.is_first:
             return self._take_first(now, packet)
         flow = self._flows.get(packet.flow)
-        if flow is None or packet.token != flow.standing.upstream.token:
+        if flow is None or not _is_bound(flow, packet):
             flow = self._bind(now, packet, flow)
             if flow is None:
                 return self._take_unknown(now, packet)
@@ -180,58 +220,69 @@
         return self._carry(now, packet, flow)
 
     def list_heard(
-        self, now: float, tokens: Iterable[int]
+        self, now: float, incarnations: Iterable[int]
     ) -> dict[int, float]:
         """Answer a peer that doubts some upstreams.
 
         :param now: the time.
-        :param tokens: the upstreams' tokens.
-        :returns: for those heard here, how many seconds ago, by token.
+        :param incarnations: of the upstreams.
+        :returns: for those heard here, how many seconds ago, by
+            incarnation.
         """
         heard = {}
-        for token in tokens:
-            standing = self._directory.find(token)
+        for incarnation in incarnations:
+            standing = self._directory.find_incarnation(incarnation)
             if standing is None:
                 continue
             age = now - standing.heard_at
             if age <= self._settings.longest_wait_seconds:
-                heard[token] = age
+                heard[incarnation] = age
         return heard
 
     def take_heard(self, now: float, heard: dict[int, float]) -> None:
         """Take what a peer has heard of upstreams in doubt.
 
         :param now: the time.
-        :param heard: how many seconds ago, by token.
+        :param heard: how many seconds ago, by incarnation.
         """
-        for token, age in heard.items():
-            standing = self._directory.find(token)
+        for incarnation, age in heard.items():
+            standing = self._directory.find_incarnation(incarnation)
             if standing is not None:
                 self._health.take_heard(now, standing, now - age)
 
-    def take_lost(self, now: float, tokens: Iterable[int]) -> list[object]:
+    def take_lost(
+        self, now: float, incarnations: Iterable[int]
+    ) -> list[object]:
         """Take that a peer of this zone found upstreams out of reach.
 
         :param now: the time.
-        :param tokens: the upstreams' tokens.
+        :param incarnations: of the upstreams.
         :returns: effects.
         """
         effects: list[object] = []
-        for token in tokens:
-            standing = self._directory.find(token)
+        for incarnation in incarnations:
+            standing = self._directory.find_incarnation(incarnation)
             if standing is not None:
                 effects += self._health.take_lost(now, standing)
         return effects
 
-    def take_probe(self, now: float, name: str, outcome: str) -> list[object]:
+    def take_probe(
+        self,
+        now: float,
+        name: str,
+        outcome: str,
+        incarnation: int | None = None,
+    ) -> list[object]:
         """Take the end of a probe.
 
         :param now: the time in seconds.
         :param name: the upstream's name.
         :param outcome: one of :class:`ProbeOutcome`.
+        :param incarnation: which start of it was probed; None for the one
+            that is known now.
         :returns: effects.
         """
-        return self._health.take_probe(now, name, outcome)
+        return self._health.take_probe(now, name, outcome, incarnation)
 
     def tick(self, now: float) -> list[object]:
         """Do what is due.
@@ -314,6 +365,9 @@
                 return flow
             _flow.count_in(flow, standing)
             return flow
+        if flow.standing.is_former:
+            _flow.move(flow, standing, packet.acknowledged, now)
+            return flow
         _flow.count_in(flow, standing)
         self._open(now, flow, packet)
         return flow
@@ -421,16 +475,23 @@
         return effects
 
 
-def _record_change(
-    standing: _standing.Standing, change: str
-) -> _effect.Record:
-    upstream = standing.upstream
+def _is_bound(flow: _flow.Flow, packet: _packet.Packet) -> bool:
+    standing = flow.standing
+    return packet.token == standing.upstream.token and not standing.is_former
+
+
+def _record_change(change: _directory.EntryChange) -> _effect.Record:
+    standing = change.standing if change.former is None else change.former
+    upstream = change.standing.upstream
     details = {
         'service': upstream.service,
         'zone': upstream.zone,
         'address': f'{upstream.address[0]}:{upstream.address[1]}',
         'flows': standing.flows,
+        'revision': upstream.revision,
     }
+    if upstream.born is not None:
+        details['born'] = upstream.born
     return _effect.Record(
-        'upstream', change, upstream=upstream.name, details=details
+        'upstream', change.kind, upstream=upstream.name, details=details
     )
--- a/skylarkfold/affinity/_directory.py
+++ b/skylarkfold/affinity/_directory.py
@@ -17,6 +17,29 @@
     DRAINING = 'draining'
     LAPSED = 'lapsed'
     BACK = 'back'
+    RESTARTED = 'restarted'
+
+
+class EntryChange:
+    """An upstream that is seen otherwise from now on.
+
+    :param kind: one of :class:`Change`.
+    :param standing: the upstream.
+    :param former: what was known of its start before, None unless it has
+        started again.
+    """
+
+    __slots__ = ('former', 'kind', 'standing')
+
+    def __init__(
+        self,
+        kind: str,
+        standing: _standing.Standing,
+        former: _standing.Standing | None = None,
+    ) -> None:
+        self.kind = kind
+        self.standing = standing
+        self.former = former
 
 
 class Directory:
@@ -26,15 +49,26 @@
     flows are still forwarded for as long as one may live, unless another
     upstream was given the same address.
 
+    An entry of the same name that another start wrote replaces all that was
+    known. Which start is the later one is not asked: clocks differ, and the
+    store's newest entry holds on every instance.
+
     :param settings: how long upstreams are remembered.
     """
 
-    __slots__ = ('_by_name', '_by_service', '_by_token', '_settings')
+    __slots__ = (
+        '_by_incarnation',
+        '_by_name',
+        '_by_service',
+        '_by_token',
+        '_settings',
+    )
 
     def __init__(self, settings: _settings.AffinitySettings) -> None:
         self._settings = settings
         self._by_name: dict[str, _standing.Standing] = {}
         self._by_token: dict[int, _standing.Standing] = {}
+        self._by_incarnation: dict[int, _standing.Standing] = {}
         self._by_service: dict[str, list[_standing.Standing]] = {}
 
     def __len__(self) -> int:
@@ -59,6 +93,14 @@
         """
         return self._by_token.get(token)
 
+    def find_incarnation(self, incarnation: int) -> _standing.Standing | None:
+        """Find the upstream that a peer speaks of.
+
+        :param incarnation: what names its start.
+        :returns: its standing, None if no known start has it.
+        """
+        return self._by_incarnation.get(incarnation)
+
     def list_service(self, service: str) -> list[_standing.Standing]:
         """List the upstreams of a service, gone ones included.
 
@@ -69,26 +111,25 @@
 
     def replace(
         self, now: float, present: Iterable[_upstream.Upstream]
-    ) -> list[tuple[_standing.Standing, str]]:
+    ) -> list[EntryChange]:
         """Take the list of all upstreams that have an entry.
 
         :param now: the time.
         :param present: all of them.
-        :returns: those that are seen otherwise now, each with a
-            :class:`Change`.
+        :returns: those that are seen otherwise now.
         """
         names = set()
         changes = []
         for upstream in present:
             names.add(upstream.name)
             change = self._put(now, upstream)
-            if change:
-                changes.append((self._by_name[upstream.name], change))
+            if change is not None:
+                changes.append(change)
         for standing in self._by_name.values():
             is_absent = standing.upstream.name not in names
             if is_absent and standing.lapsed_at is None:
                 standing.lapsed_at = now
-                changes.append((standing, Change.LAPSED))
+                changes.append(EntryChange(Change.LAPSED, standing))
         self._drop_old(now)
         self._index()
         return changes
@@ -112,36 +153,67 @@
             del self._by_name[name]
         return bool(gone)
 
-    def _put(self, now: float, upstream: _upstream.Upstream) -> str:
+    def _put(
+        self, now: float, upstream: _upstream.Upstream
+    ) -> EntryChange | None:
         standing = self._by_name.get(upstream.name)
         if standing is None:
-            self._by_name[upstream.name] = _standing.Standing(upstream, now)
-            return Change.ADDED
+            return self._add(now, upstream, Change.ADDED)
+        if not upstream.is_same_start(standing.upstream):
+            standing.is_former = True
+            change = self._add(now, upstream, Change.RESTARTED)
+            change.former = standing
+            return change
         before, standing.upstream = standing.upstream, upstream
         if standing.lapsed_at is not None:
             standing.lapsed_at = None
-            return Change.BACK
+            return EntryChange(Change.BACK, standing)
         if upstream.is_draining and not before.is_draining:
-            return Change.DRAINING
-        return ''
+            return EntryChange(Change.DRAINING, standing)
+        return None
+
+    def _add(
+        self, now: float, upstream: _upstream.Upstream, kind: str
+    ) -> EntryChange:
+        standing = _standing.Standing(upstream, now)
+        self._by_name[upstream.name] = standing
+        return EntryChange(kind, standing)
 
     def _index(self) -> None:
         self._by_token = {}
+        self._by_incarnation = {}
         self._by_service = {}
-        at_address: dict[tuple[str, int], _standing.Standing] = {}
         for standing in sorted(self._by_name.values(), key=_get_age):
             upstream = standing.upstream
             # The older upstream keeps a token that two share. The other
             # gets no new flow, so that no packet carries a token in doubt.
             holder = self._by_token.setdefault(upstream.token, standing)
             standing.has_token = holder is standing and upstream.token != 0
+            self._by_incarnation.setdefault(upstream.incarnation, standing)
             self._by_service.setdefault(upstream.service, []).append(standing)
+        self._mark_replaced()
+
+    def _mark_replaced(self) -> None:
+        """Mark those whose address another process has.
+
+        Whose entry was written last has the address. Not when it was
+        created: an upstream that starts again at an address that it was
+        given keeps the entry of its name.
+        """
+        last: dict[tuple[str, int], _standing.Standing] = {}
+        for standing in sorted(self._by_name.values(), key=_get_revision):
             standing.is_replaced = False
-            before = at_address.get(upstream.address)
+            before = last.get(standing.upstream.address)
             if before is not None:
                 before.is_replaced = before.lapsed_at is not None
-            at_address[upstream.address] = standing
+            last[standing.upstream.address] = standing
 
 
 def _get_age(standing: _standing.Standing) -> tuple[int, str]:
     return (standing.upstream.created, standing.upstream.name)
+
+
+def _get_revision(standing: _standing.Standing) -> tuple[int, int, str]:
+    # Entries whose revision is not known are told apart by their creation.
+    upstream = standing.upstream
+    return (upstream.revision, upstream.created, upstream.name)
--- a/skylarkfold/affinity/_effect.py
+++ b/skylarkfold/affinity/_effect.py
@@ -22,6 +22,7 @@
     OTHER_SERVICE = 'other-service'
     OUT_OF_REACH = 'out-of-reach'
     REPLACED = 'replaced'
+    RESTARTED = 'restarted'
     NOT_ANSWERED = 'not-answered'
     NOT_OPENED = 'not-opened'
 
--- a/skylarkfold/affinity/_ending.py
+++ b/skylarkfold/affinity/_ending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from skylarkfold.affinity import _effect
 from skylarkfold.affinity import _flow
@@ -74,11 +75,38 @@
                 effects += self._reset(now, flow)
         return effects
 
+    def end_former(
+        self, now: float, ended: Mapping[_standing.Standing, float]
+    ) -> list[object]:
+        """End flows of upstreams that have started again.
+
+        Their next packet would be answered with a reset, and a request in
+        it that must not run twice be lost. The process is gone, so that one
+        that waits has nothing to wait for.
+
+        :param now: the time.
+        :param ended: for each start before the present one, until when it
+            was there for certain.
+        :returns: effects.
+        """
+        if not ended:
+            return []
+        effects: list[object] = []
+        for flow in self._flows:
+            until = ended.get(flow.standing)
+            if until is None or not flow.is_open or flow.is_closed:
+                continue
+            if flow.begun_at <= until:
+                effects += self._reset(now, flow)
+        return effects
+
     def _reset(self, now: float, flow: _flow.Flow) -> list[object]:
         standing = flow.standing
         reason = Reason.OUT_OF_REACH
         if standing.is_replaced:
             reason = Reason.REPLACED
+        if standing.is_former:
+            reason = Reason.RESTARTED
         self._flows.remove(flow)
         self._tally.count(_tally.RESET, reason)
         waited = flow.waiting_since
--- a/skylarkfold/affinity/_flow.py
+++ b/skylarkfold/affinity/_flow.py
@@ -225,6 +225,28 @@
         flow.standing.change_busy(now, -1)
 
 
+def move(
+    flow: Flow, standing: _standing.Standing, acknowledged: int, now: float
+) -> None:
+    """Move a flow to the next start of its upstream.
+
+    Which start answered it is not known, so that neither its answer nor its
+    wait says anything of this one.
+
+    :param flow: the flow.
+    :param standing: the upstream as it started again.
+    :param acknowledged: the caller's acknowledgement.
+    :param now: the time.
+    """
+    end_work(flow, now)
+    flow.waiting_since = None
+    flow.doubted_wait = None
+    flow.is_open = True
+    flow.first = b''
+    flow.acknowledged = acknowledged
+    count_in(flow, standing)
+
+
 def count_out(flow: Flow) -> None:
     """Count a flow no more.
 
--- a/skylarkfold/affinity/_health.py
+++ b/skylarkfold/affinity/_health.py
@@ -106,7 +106,7 @@
         :returns: effects.
         """
         standing = flow.standing
-        if standing.last_heard >= flow.placed_at:
+        if standing.is_former or standing.last_heard >= flow.placed_at:
             return []
         reason = _effect.Reason.NOT_OPENED
         doubt = _record_doubt(now, flow, flow.placed_at, reason)
@@ -161,16 +161,23 @@
         self._suspects[standing.upstream.name] = standing
         return self._probe(now, standing)
 
-    def take_probe(self, now: float, name: str, outcome: str) -> list[object]:
+    def take_probe(
+        self, now: float, name: str, outcome: str, incarnation: int | None
+    ) -> list[object]:
         """Take the end of a probe.
 
         :param now: the time.
         :param name: the upstream's name.
         :param outcome: how it ended.
+        :param incarnation: which start of it was probed; None for the one
+            that is known now.
         :returns: effects.
         """
         standing = self._directory.get(name)
-        if standing is None:
+        if standing is None or incarnation not in (
+            None,
+            standing.upstream.incarnation,
+        ):
             return self._take_control(now, name)
         if outcome == Outcome.ALIVE:
             standing.alive_at = now
@@ -259,7 +266,7 @@
     def _judge_wait(self, now: float, flow: _flow.Flow) -> list[object]:
         if flow.waiting_since is None or flow.is_closed:
             return []
-        if self._has_moved(now, flow):
+        if flow.standing.is_former or self._has_moved(now, flow):
             flow.waiting_since = None
             _flow.end_work(flow, now)
             return []
--- a/skylarkfold/affinity/_load.py
+++ b/skylarkfold/affinity/_load.py
@@ -34,13 +34,13 @@
 
         :param now: the time.
         :param source: who says so.
-        :param loads: by token of their upstream.
+        :param loads: by incarnation of their upstream.
         """
         _, before = self._reports.get(source, (now, {}))
         self._reports[source] = (now, loads)
-        for token in before.keys() | loads.keys():
-            known = before.get(token, _NOTHING)
-            self._add(token, loads.get(token, _NOTHING), known)
+        for incarnation in before.keys() | loads.keys():
+            known = before.get(incarnation, _NOTHING)
+            self._add(incarnation, loads.get(incarnation, _NOTHING), known)
 
     def expire(self, now: float) -> None:
         """Forget what those said that are silent now.
@@ -51,8 +51,8 @@
         for source, (at, report) in list(self._reports.items()):
             if at < oldest:
                 del self._reports[source]
-                for token, load in report.items():
-                    self._add(token, _NOTHING, load)
+                for incarnation, load in report.items():
+                    self._add(incarnation, _NOTHING, load)
 
     def apply(self) -> None:
         """Sum up again after the upstreams have changed."""
@@ -60,11 +60,13 @@
             standing.remote_flows = 0
             standing.remote_busy = 0.0
         for _, report in self._reports.values():
-            for token, load in report.items():
-                self._add(token, load)
+            for incarnation, load in report.items():
+                self._add(incarnation, load)
 
-    def _add(self, token: int, load: _Load, before: _Load = _NOTHING) -> None:
-        standing = self._directory.find(token)
+    def _add(
+        self, incarnation: int, load: _Load, before: _Load = _NOTHING
+    ) -> None:
+        standing = self._directory.find_incarnation(incarnation)
         if standing is not None:
             standing.remote_flows += load.flows - before.flows
             busy = standing.remote_busy + load.busy - before.busy
--- a/skylarkfold/affinity/_route.py
+++ b/skylarkfold/affinity/_route.py
@@ -67,17 +67,21 @@
     :param routes: the routes.
     :param idle_seconds: a flow without a packet for so long may be
         forgotten.
+    :param services: the services that there are; empty where that is not
+        said.
     """
 
-    __slots__ = ('_routes', 'idle_seconds', 'version')
+    __slots__ = ('_routes', 'idle_seconds', 'services', 'version')
 
     def __init__(
         self,
         version: int,
         routes: Iterable[Route],
         idle_seconds: float = 15.0,
+        services: Iterable[str] = (),
     ) -> None:
         self.version = version
+        self.services = frozenset(services)
         self.idle_seconds = idle_seconds
         self._routes = {each.address: each for each in routes}
         last = max(
--- a/skylarkfold/affinity/_settings.py
+++ b/skylarkfold/affinity/_settings.py
@@ -39,6 +39,12 @@
     :param return_seconds: one that was out of reach is avoided until so
         long after it fell silent: its entry lapses after 3.6 s if its
         process has ended and another one has its address.
+    :param entry_seconds: how long an entry may outlive the last word of its
+        process, and a first packet of a flow its placement: three
+        heartbeats of 1.2 s, a second for the store to remove it, and the
+        1.4 s that a caller waits for an answer to a first packet. Of an
+        upstream that has started again, flows opened longer ago than its
+        earlier entry was known to stand are those of the earlier start.
     :param lapsed_seconds: how long an upstream whose entry is gone may
         still get new flows where its service has no other: entries that
         lapsed in an outage are back within 2 s.
@@ -79,6 +85,7 @@
         'answer_patience_seconds',
         'crowd_limit',
         'crowd_share',
+        'entry_seconds',
         'flow_limit',
         'flow_seconds',
         'full_seconds',
@@ -118,6 +125,7 @@
         verdict_seconds: float = 1.0,
         full_seconds: float = 0.5,
         return_seconds: float = 4.5,
+        entry_seconds: float = 6.0,
         lapsed_seconds: float = 2.5,
         flow_seconds: float = 60.0,
         active_seconds: float = 3.0,
@@ -145,6 +153,7 @@
         self.verdict_seconds = verdict_seconds
         self.return_seconds = return_seconds
         self.full_seconds = full_seconds
+        self.entry_seconds = entry_seconds
         self.lapsed_seconds = lapsed_seconds
         self.flow_seconds = flow_seconds
         self.active_seconds = active_seconds
--- a/skylarkfold/affinity/_standing.py
+++ b/skylarkfold/affinity/_standing.py
@@ -37,7 +37,10 @@
     :ivar heard_elsewhere_at: the same at a peer.
     :ivar silent_since: since when it did not answer, while in doubt.
     :ivar lapsed_at: when its entry disappeared, None while it is there.
+    :ivar present_at: when it was last known to be there before that.
     :ivar is_replaced: whether another process has its address.
+    :ivar is_former: whether its process has started again: what is known
+        here is of the start before, and another standing has its place.
     :ivar has_token: whether no older upstream has the same token.
     :ivar health: one of :class:`Health`.
     :ivar failures: probes in a row that failed.
@@ -71,11 +74,13 @@
         'health',
         'heard_at',
         'heard_elsewhere_at',
+        'is_former',
         'is_probing',
         'is_proven',
         'is_replaced',
         'lapsed_at',
         'outcome',
+        'present_at',
         'probe_due',
         'probed_at',
         'remote_busy',
@@ -105,7 +110,9 @@
         self.outcome = ''
         self.is_proven = False
         self.lapsed_at: float | None = None
+        self.present_at = _NEVER
         self.is_replaced = False
+        self.is_former = False
         self.has_token = True
         self.health = Health.GOOD
         self.failures = 0
--- a/skylarkfold/affinity/_upstream.py
+++ b/skylarkfold/affinity/_upstream.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import xxhash
+
 # A token has 32 bits; 0 stands for a packet without one.
 TOKEN_MASK = 0xFFFFFFFF
 
@@ -9,7 +11,7 @@
 class Upstream:
     """One process that serves a service, from its start to its end.
 
-    :param name: names this process alone; a restart has another one.
+    :param name: names this process, and a later start of it maybe.
     :param number: the same as a number of up to 64 bits; its lowest 32
         are the token.
     :param service: the service's name.
@@ -20,14 +22,22 @@
     :param slow_seconds: how much longer it was slow from its start when
         that was said.
     :param created: the store's revision at which its entry was created.
+    :param revision: the store's revision of its entry in this form.
+    :param born: the Unix millisecond of its start by its own clock; None
+        where that is not said. Only whether it is the same matters: clocks
+        differ and are set back.
+    :ivar incarnation: 32 bits that name this start among instances.
     """
 
     __slots__ = (
         'address',
+        'born',
         'created',
+        'incarnation',
         'is_draining',
         'name',
         'number',
+        'revision',
         'service',
         'slots',
         'slow_seconds',
@@ -45,6 +55,8 @@
         is_draining: bool = False,
         slow_seconds: float = 0.0,
         created: int = 0,
+        revision: int = 0,
+        born: int | None = None,
     ) -> None:
         self.name = name
         self.number = number
@@ -55,11 +67,34 @@
         self.is_draining = is_draining
         self.slow_seconds = slow_seconds
         self.created = created
+        self.revision = revision
+        self.born = born
+        self.incarnation = self._compute_incarnation()
 
     @property
     def token(self) -> int:
         """What the packets of its flows carry."""
         return self.number & TOKEN_MASK
 
+    def is_same_start(self, other: Upstream) -> bool:
+        """Tell whether this and another entry are of the same process.
+
+        A process changes neither its address nor its service.
+
+        :param other: the entry of the same name.
+        :returns: whether none of what marks a start differs.
+        """
+        return (self.born, self.service, self.address) == (
+            other.born,
+            other.service,
+            other.address,
+        )
+
+    def _compute_incarnation(self) -> int:
+        if self.born is None:
+            return self.token
+        start = f'{self.number}|{self.born}'
+        return xxhash.xxh32_intdigest(start.encode())
+
     def __repr__(self) -> str:
         return f'Upstream({self.name!r}, {self.service!r})'
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -67,7 +67,9 @@
         self._platform = platform
         self._packets = packets
         self._loop = reactor.Loop()
-        self._reporter = _reporter.Reporter(settings.name, own.log)
+        self._reporter = _reporter.Reporter(
+            settings.name, own.log, platform.list_counters
+        )
         self._affinity = affinity.AffinityCore(settings.zone, own.affinity)
         self._relay = relay.RelayCore(
             settings.name,
@@ -211,24 +213,24 @@
 
     def _ask_peers(self, wanted: affinity.AskPeers) -> None:
         self.count(_metrics.PEERS_ASKED)
-        tokens = (wanted.upstream.token,)
+        incarnations = (wanted.upstream.incarnation,)
         now = self._loop.now()
         announcer = self._relay.announcer
-        self._perform(announcer.tell_zone(now, doubts=tokens))
+        self._perform(announcer.tell_zone(now, doubts=incarnations))
 
     def _tell_peers(self, wanted: affinity.TellPeers) -> None:
-        tokens = (wanted.upstream.token,)
+        incarnations = (wanted.upstream.incarnation,)
         now = self._loop.now()
         announcer = self._relay.announcer
-        self._perform(announcer.tell_zone(now, lost=tokens))
+        self._perform(announcer.tell_zone(now, lost=incarnations))
 
     def _take_lost(self, wanted: relay.TakeLost) -> None:
         now = self._loop.now()
-        self._perform(self._affinity.take_lost(now, wanted.tokens))
+        self._perform(self._affinity.take_lost(now, wanted.incarnations))
 
     def _tell_heard(self, wanted: relay.TellHeard) -> None:
         now = self._loop.now()
-        heard = self._affinity.list_heard(now, wanted.tokens)
+        heard = self._affinity.list_heard(now, wanted.incarnations)
         announcer = self._relay.announcer
         self._perform(announcer.answer(now, wanted.host, heard))
 
@@ -238,10 +240,14 @@
     def _probe(self, wanted: affinity.Probe) -> None:
         _probe.probe(self._loop, wanted, self._take_probe)
 
-    def _take_probe(self, name: str, outcome: str) -> None:
+    def _take_probe(self, upstream: affinity.Upstream, outcome: str) -> None:
         self.count(f'{_metrics.PROBE}.{outcome}')
         now = self._loop.now()
-        self._perform(self._affinity.take_probe(now, name, outcome))
+        self._perform(
+            self._affinity.take_probe(
+                now, upstream.name, outcome, upstream.incarnation
+            )
+        )
 
     def _call_store(self, wanted: relay.CallStore) -> None:
         self.count(_metrics.STORE_CALLS)
@@ -338,6 +344,9 @@
         age = self._relay.compute_age(now, self._platform.routes_topic)
         if age is not None:
             self._affinity.note_confirmed(now - age)
+        age = self._relay.compute_age(now, self._platform.upstreams_topic)
+        if age is not None:
+            self._affinity.note_present(now - age)
         if self._departure is not None:
             self._check_departure(now, self._departure)
 
--- a/skylarkfold/forwarder/_platform.py
+++ b/skylarkfold/forwarder/_platform.py
@@ -56,5 +56,8 @@
     ) -> list[affinity.Upstream]:
         """Read the upstreams' entries; unusable ones are left out."""
 
+    def list_counters(self) -> dict[str, int]:
+        """List what could not be used so far, totals by name."""
+
     def open_store(self, loop: reactor.Loop) -> Store:
         """Make a client of the store."""
--- a/skylarkfold/forwarder/_probe.py
+++ b/skylarkfold/forwarder/_probe.py
@@ -13,7 +13,7 @@
 def probe(
     loop: reactor.Loop,
     wanted: affinity.Probe,
-    finished: Callable[[str, str], object],
+    finished: Callable[[affinity.Upstream, str], object],
 ) -> None:
     """Open a connection and close it again.
 
@@ -22,22 +22,22 @@
 
     :param loop: the event loop.
     :param wanted: what to probe.
-    :param finished: takes the upstream's name and the outcome, once.
+    :param finished: takes the upstream and the outcome, once.
     """
     _Attempt(loop, wanted, finished)
 
 
 class _Attempt:
-    __slots__ = ('_finished', '_name', '_stream', '_timer')
+    __slots__ = ('_finished', '_stream', '_timer', '_upstream')
 
     def __init__(
         self,
         loop: reactor.Loop,
         wanted: affinity.Probe,
-        finished: Callable[[str, str], object],
+        finished: Callable[[affinity.Upstream, str], object],
     ) -> None:
         self._finished = finished
-        self._name = wanted.upstream.name
+        self._upstream = wanted.upstream
         self._stream = reactor.connect(loop, wanted.upstream.address)
         self._stream.on_open = self._succeed
         self._stream.on_close = self._refuse
@@ -58,4 +58,4 @@
             return
         self._timer.cancel()
         self._stream.close()
-        finished(self._name, outcome)
+        finished(self._upstream, outcome)
--- a/skylarkfold/forwarder/_reporter.py
+++ b/skylarkfold/forwarder/_reporter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 
 from skylarkfold import affinity
 from skylarkfold.forwarder import _metrics
@@ -18,6 +19,7 @@
 
     :param instance: its name.
     :param settings: how much is logged.
+    :param list_counters: lists what the platform's translation counts.
 
     Lines are held until :meth:`open`.
     """
@@ -25,14 +27,21 @@
     __slots__ = (
         '_handler',
         '_instance',
+        '_list_counters',
         '_lost',
         '_settings',
         'counters',
         'histograms',
     )
 
-    def __init__(self, instance: str, settings: _own.LogSettings) -> None:
+    def __init__(
+        self,
+        instance: str,
+        settings: _own.LogSettings,
+        list_counters: Callable[[], dict[str, int]],
+    ) -> None:
         self._instance = instance
+        self._list_counters = list_counters
         self._settings = settings
         self._handler: object = None
         _logger.hold(settings.waiting_lines)
@@ -133,7 +142,11 @@
         :param core: the decisions, with counters of their own.
         :returns: totals by name.
         """
-        totals = {**core.tally.counters, **self.counters}
+        totals = {
+            **core.tally.counters,
+            **self.counters,
+            **self._list_counters(),
+        }
         left_out = _logger.left_out
         if self._handler is not None:
             left_out += self._handler.left_out
--- a/skylarkfold/measure/_overload_fleet.py
+++ b/skylarkfold/measure/_overload_fleet.py
@@ -254,9 +254,9 @@
     def _ask_peers(
         self, instance: Instance, wanted: affinity.AskPeers
     ) -> None:
-        tokens = (wanted.upstream.token,)
+        incarnations = (wanted.upstream.incarnation,)
         for mate in self._list_mates(instance):
-            heard = mate.core.list_heard(self.clock.now, tokens)
+            heard = mate.core.list_heard(self.clock.now, incarnations)
             self.clock.call(_WORD_SECONDS, self._take_heard, instance, heard)
 
     def _take_heard(self, instance: Instance, heard: dict) -> None:
@@ -268,7 +268,7 @@
     ) -> None:
         for mate in self._list_mates(instance):
             effects = mate.core.take_lost(
-                self.clock.now, (wanted.upstream.token,)
+                self.clock.now, (wanted.upstream.incarnation,)
             )
             self._perform(mate, effects)
 
@@ -306,8 +306,8 @@
             for mate in self._list_mates(each):
                 self._pass_load(_WORD_SECONDS, mate, each.name, load)
             total = by_zone.setdefault(each.zone, {})
-            for token, value in load.items():
-                total[token] = _add_loads(value, total.get(token))
+            for start, value in load.items():
+                total[start] = _add_loads(value, total.get(start))
         for zone, load in by_zone.items():
             for each in self._list_up():
                 is_other = each.zone != zone
--- a/skylarkfold/measure/token.py
+++ b/skylarkfold/measure/token.py
@@ -197,7 +197,7 @@
         _build_packet(caller, _wire.SYN, 0)
         for caller in range(_PACKETS * _TIMES)
     ]
-    reporter = _reporter.Reporter('measured', settings)
+    reporter = _reporter.Reporter('measured', settings, dict)
     late_log.LOGGER.release()
     handler = _lines.LineHandler('measured', settings, nowhere)
     logger = logging.getLogger(late_log.NAME)
--- a/skylarkfold/platform/_adapter.py
+++ b/skylarkfold/platform/_adapter.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
+from skylarkfold import affinity
 from skylarkfold import machine
+from skylarkfold.platform import _complaints
 from skylarkfold.platform import _objects
 from skylarkfold.platform import _packet
 from skylarkfold.platform import _store
 from skylarkfold import reactor
+from skylarkfold import relay
 
 
 class Adapter:
@@ -22,8 +27,19 @@
         self._settings = settings
         self.decode_packet = _packet.decode
         self.encode_forward = _packet.encode_forward
-        self.decode_routes = _objects.decode_routes
-        self.decode_upstreams = _objects.UpstreamDecoder().decode
+        self._complaints = _complaints.Complaints()
+        decoder = _objects.UpstreamDecoder(self._complaints)
+        self.decode_upstreams = decoder.decode
+
+    def decode_routes(
+        self, items: Iterable[relay.Item]
+    ) -> affinity.RouteTable | None:
+        """Read the routes; None where there are none that can be used."""
+        return _objects.decode_routes(items, self._complaints)
+
+    def list_counters(self) -> dict[str, int]:
+        """List what could not be used so far, totals by name."""
+        return dict(self._complaints.counters)
 
     def encode_reset(
         self, flow: bytes, acknowledged: int
@@ -36,4 +52,4 @@
     def open_store(self, loop: reactor.Loop) -> _store.StoreClient:
         """Make a client of the store."""
         address = self._settings.store_address
-        return _store.StoreClient(loop, address)
+        return _store.StoreClient(loop, address, self._complaints)
--- a/skylarkfold/platform/_objects.py
+++ b/skylarkfold/platform/_objects.py
@@ -1,4 +1,8 @@
-"""The objects of the platform's store, read into typed values."""
+"""The objects of the platform's store, read into typed values.
+
+Other programs write there, too. What can't be read is left out alone, so
+that the rest stands; :mod:`_complaints` says and counts it.
+"""
 
 from __future__ import annotations
 
@@ -6,7 +10,8 @@
 
 from skylarkfold import affinity
 from skylarkfold import errors
-from skylarkfold import late_log
+from skylarkfold.platform import _complaints
+from skylarkfold.platform import _fields
 from skylarkfold import relay
 
 # The kinds of objects that an instance follows.
@@ -16,26 +21,41 @@
 # The one object that holds the newest configuration.
 _ROUTES_NAME = 'main'
 _IDEMPOTENT_TYPES = ('idempotent', 'download')
+_READY = 'ready'
 _DRAINING = 'draining'
-_ID_BITS = 64
 
-_logger = late_log.LOGGER
+_HEX_DIGITS = frozenset('0123456789abcdefABCDEF')
+# The digits of a number of 64 bits.
+_MOST_ID_DIGITS = 16
+# Far above what any upstream has, and below what wraps around or stands
+# still: a million requests at a time, an hour of slowness.
+_MOST_SLOTS = 1 << 20
+_MOST_WARMUP_MS = 3_600_000
+_MOST_COUNT = (1 << 62) - 1
+_MOST_WEIGHT = 1 << 20
+_MOST_PRIORITY = 1 << 20
+_MOST_TIME_MS = 1 << 40
+# For a configuration whose limits can't be read: the longest life of a flow
+# in the platform's example.
+_IDLE_SECONDS = 60.0
 
 
 def decode_routes(
     items: Iterable[relay.Item],
+    complaints: _complaints.Complaints | None = None,
 ) -> affinity.RouteTable | None:
     """Read the configuration.
 
     :param items: the objects of its kind.
-    :returns: the routes; None where there are none that can be used.
+    :param complaints: where routes that can't be used are noted.
+    :returns: the routes that can be used; None where there is no
+        configuration with a version.
     """
+    if complaints is None:
+        complaints = _complaints.Complaints()
     for item in items:
         if item.path == _ROUTES_NAME:
-            try:
-                return _convert_routes(item.value)
-            except _UNUSABLE as error:
-                _note_unusable('configuration', item, error)
+            return _RoutesReader(item, complaints).read()
     return None
 
 
@@ -44,11 +64,16 @@
 
     All entries are read with every change of one: 3,800 take 10 ms, those
     that have not changed 1 ms.
+
+    :param complaints: where entries that can't be used are noted.
     """
 
-    __slots__ = ('_known',)
+    __slots__ = ('_complaints', '_known')
 
-    def __init__(self) -> None:
+    def __init__(
+        self, complaints: _complaints.Complaints | None = None
+    ) -> None:
+        self._complaints = complaints or _complaints.Complaints()
         self._known: dict[str, tuple[int, affinity.Upstream | None]] = {}
 
     def decode(self, items: Iterable[relay.Item]) -> list[affinity.Upstream]:
@@ -62,90 +87,166 @@
         for item in items:
             entry = known.get(item.path)
             if entry is None or entry[0] != item.revision:
-                entry = (item.revision, _read_upstream(item))
+                entry = (item.revision, self._read(item))
             self._known[item.path] = entry
             if entry[1] is not None:
                 upstreams.append(entry[1])
         return upstreams
 
-
-def _read_upstream(item: relay.Item) -> affinity.Upstream | None:
-    try:
-        return _convert_upstream(item)
-    except _UNUSABLE as error:
-        _note_unusable('upstream', item, error)
-        return None
-
-
-def _convert_routes(value: dict[str, object]) -> affinity.RouteTable:
-    version = value['version']
-    if not isinstance(version, int) or version < 0:
-        raise errors.DecodeError(f'{version!r} is no version')
-    idle_seconds = float(value['limits']['idle_timeout_ms']) / 1000
-    routes = [_convert_route(each) for each in value['routes']]
-    return affinity.RouteTable(version, routes, idle_seconds)
-
-
-def _convert_route(fields: dict[str, object]) -> affinity.Route:
-    # The path is no path but a port between slashes.
-    port = int(fields['path_prefix'].strip('/'))
-    address = affinity.pack_address(fields['host'], port)
-    if fields.get('service'):
-        shares = [(fields['service'], 1)]
-    else:
-        shares = [
-            (str(each['service']), int(each['weight']))
-            for each in fields['traffic_split']
-        ]
-    return affinity.Route(
-        address,
-        shares,
-        is_idempotent=fields.get('type') in _IDEMPOTENT_TYPES,
-        priority=int(fields.get('priority', 0)),
-        aim_seconds=float(fields.get('target_latency_ms', 0)) / 1000,
-    )
+    def _read(self, item: relay.Item) -> affinity.Upstream | None:
+        try:
+            return _convert_upstream(item)
+        except errors.DecodeError as error:
+            self._complaints.note(
+                _complaints.UPSTREAM, item.path, item.revision, error.reason
+            )
+            return None
 
 
 def _convert_upstream(item: relay.Item) -> affinity.Upstream:
-    fields = item.value
-    # The digits after the dash are the number that packets name it by.
-    number = int(item.path.rpartition('-')[2], 16)
-    if number >= 1 << _ID_BITS:
-        raise errors.DecodeError('the number in the name is too large')
-    host, _, port = fields['address'].rpartition(':')
-    affinity.pack_address(host, int(port))
+    fields = _fields.Fields(item.value)
+    # Nothing here depends on these two; an entry without them is none that
+    # an upstream wrote.
+    fields.get_text('version')
+    fields.get_count('sequence', 0, _MOST_COUNT)
+    born = None
+    if fields.has('born'):
+        born = fields.get_count('born', 1, _MOST_COUNT)
+    state = fields.get_choice('state', (_READY, _DRAINING))
     return affinity.Upstream(
         name=item.path,
-        number=number,
-        service=str(fields['service']),
-        address=(host, int(port)),
-        zone=str(fields['zone']),
+        number=_read_number(item.path),
+        service=fields.get_text('service'),
+        address=fields.get_address('address'),
+        zone=fields.get_text('zone'),
         # Requests at a time, not connections.
-        slots=int(fields['max_concurrency']),
-        is_draining=fields['state'] == _DRAINING,
-        slow_seconds=float(fields.get('warmup_left_ms', 0)) / 1000,
+        slots=fields.get_count('max_concurrency', 1, _MOST_SLOTS),
+        is_draining=state == _DRAINING,
+        slow_seconds=fields.get_seconds('warmup_left_ms', _MOST_WARMUP_MS),
         created=item.created,
+        revision=item.revision,
+        born=born,
+    )
+
+
+def _read_number(name: str) -> int:
+    """Read the number that packets name an upstream by.
+
+    :param name: the upstream's name; the digits after its dash are it.
+    :returns: the number; 0 in a packet means any upstream, so that no name
+        holds it.
+    :raises DecodeError: if there is none.
+    """
+    digits = name.rpartition('-')[2]
+    is_number = 0 < len(digits) <= _MOST_ID_DIGITS
+    if not is_number or not _HEX_DIGITS.issuperset(digits):
+        raise errors.DecodeError('the name holds no number')
+    number = int(digits, 16)
+    if not number:
+        raise errors.DecodeError('the number in the name is 0')
+    return number
+
+
+class _RoutesReader:
+    """Reads one configuration.
+
+    :param item: its object.
+    :param complaints: where routes that can't be used are noted.
+    """
+
+    __slots__ = ('_complaints', '_item')
+
+    def __init__(
+        self, item: relay.Item, complaints: _complaints.Complaints
+    ) -> None:
+        self._item = item
+        self._complaints = complaints
+
+    def read(self) -> affinity.RouteTable | None:
+        """Read it.
+
+        :returns: the routes; None if it has no version or no list of them.
+        """
+        try:
+            fields = _fields.Fields(self._item.value)
+            version = fields.get_count('version', 0, _MOST_COUNT)
+            values = fields.get_list('routes')
+        except errors.DecodeError as error:
+            self._complain(_complaints.ROUTES, error)
+            return None
+        routes = [
+            route
+            for route in map(self._read_route, values)
+            if route is not None
+        ]
+        services = {name for route in routes for name, _ in route.shares}
+        services.update(self._read_services(fields))
+        idle_seconds = self._read_idle_seconds(fields)
+        return affinity.RouteTable(version, routes, idle_seconds, services)
+
+    def _read_route(self, value: object) -> affinity.Route | None:
+        try:
+            return _convert_route(_fields.Fields(value))
+        except errors.DecodeError as error:
+            self._complain(_complaints.ROUTE, error)
+            return None
+
+    def _read_services(self, fields: _fields.Fields) -> Iterable[str]:
+        try:
+            values = fields.get_list('services')
+        except errors.DecodeError as error:
+            self._complain(_complaints.ROUTES, error)
+            return
+        for value in values:
+            try:
+                yield _fields.Fields(value).get_text('name')
+            except errors.DecodeError as error:
+                self._complain(_complaints.ROUTES, error)
+
+    def _read_idle_seconds(self, fields: _fields.Fields) -> float:
+        try:
+            limits = fields.get_fields('limits')
+            return limits.get_seconds('idle_timeout_ms', _MOST_TIME_MS)
+        except errors.DecodeError as error:
+            self._complain(_complaints.ROUTES, error)
+            return _IDLE_SECONDS
+
+    def _complain(self, kind: str, error: errors.DecodeError) -> None:
+        self._complaints.note(
+            kind, self._item.path, self._item.revision, error.reason
+        )
+
+
+def _convert_route(fields: _fields.Fields) -> affinity.Route:
+    host = fields.get_text('host')
+    _fields.check_host('host', host)
+    # The path is no path but a port between slashes.
+    path = fields.get_text('path_prefix')
+    port = _fields.read_port('path_prefix', path.strip('/'))
+    priority = 0
+    if fields.has('priority'):
+        priority = fields.get_count('priority', 0, _MOST_PRIORITY)
+    aim_seconds = 0.0
+    if fields.has('target_latency_ms'):
+        aim_seconds = fields.get_seconds('target_latency_ms', _MOST_TIME_MS)
+    is_idempotent = False
+    if fields.has('type'):
+        is_idempotent = fields.get_text('type') in _IDEMPOTENT_TYPES
+    return affinity.Route(
+        affinity.pack_address(host, port),
+        _read_shares(fields),
+        is_idempotent=is_idempotent,
+        priority=priority,
+        aim_seconds=aim_seconds,
     )
 
 
-# What reading an object of unknown shape may raise.
-_UNUSABLE = (
-    errors.DecodeError,
-    ArithmeticError,
-    AttributeError,
-    LookupError,
-    OSError,
-    TypeError,
-    ValueError,
-)
-
-
-def _note_unusable(kind: str, item: relay.Item, error: Exception) -> None:
-    fields = {
-        'reason': 'unusable-object',
-        'kind': kind,
-        'name': item.path,
-        'revision': item.revision,
-        'error': repr(error),
-    }
-    _logger.warning('object', fields=fields)
+def _read_shares(fields: _fields.Fields) -> list[tuple[str, int]]:
+    if fields.is_set('service'):
+        return [(fields.get_text('service'), 1)]
+    shares = []
+    for value in fields.get_list('traffic_split'):
+        share = _fields.Fields(value)
+        weight = int(share.get_number('weight', _MOST_WEIGHT))
+        shares.append((share.get_text('service'), weight))
+    return shares
--- a/skylarkfold/platform/_store.py
+++ b/skylarkfold/platform/_store.py
@@ -4,8 +4,13 @@
 
 from collections.abc import Callable
 import json
+import re
 import string
 
+from skylarkfold import errors
+from skylarkfold.platform import _complaints
+from skylarkfold.platform import _fields
+from skylarkfold.platform import _objects
 from skylarkfold import reactor
 from skylarkfold import relay
 
@@ -18,6 +23,18 @@
 # 429 and 503 say that nothing was done.
 _REFUSALS = (429, 503)
 
+# Texts, which may hold brackets, and brackets.
+_NESTING = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]')
+_OPENING = ('[', '{')
+_CLOSING = (']', '}')
+# An answer, its list, an object and its entry take four of these; the
+# library reads a thousand.
+_MOST_DEPTH = 64
+_MOST_REVISION = (1 << 62) - 1
+# The most that an object of a topic is as peers are sent it; an entry of an
+# upstream takes 200 bytes, and each instance holds 3,800 of them.
+_MOST_BYTES = {_objects.UPSTREAMS_TOPIC: 16 * 1024}
+
 
 class StoreClient:
     """Calls the store, over one connection for each topic.
@@ -26,13 +43,20 @@
 
     :param loop: the event loop.
     :param address: the store's host and port.
+    :param complaints: where objects that can't be read are noted.
     """
 
-    __slots__ = ('_address', '_connections', '_loop')
+    __slots__ = ('_address', '_complaints', '_connections', '_loop')
 
-    def __init__(self, loop: reactor.Loop, address: tuple[str, int]) -> None:
+    def __init__(
+        self,
+        loop: reactor.Loop,
+        address: tuple[str, int],
+        complaints: _complaints.Complaints | None = None,
+    ) -> None:
         self._loop = loop
         self._address = address
+        self._complaints = complaints or _complaints.Complaints()
         self._connections: dict[str, reactor.HttpClient] = {}
 
     def call(self, call: relay.Call, answered: Answered) -> None:
@@ -50,7 +74,9 @@
             _build_path(call),
             b'',
             call.timeout_seconds,
-            lambda status, body: answered(_decode(call, status, body)),
+            lambda status, body: answered(
+                _decode(call, status, body, self._complaints)
+            ),
         )
 
     def close(self) -> None:
@@ -77,39 +103,142 @@
     )
 
 
-def _decode(call: relay.Call, status: int, body: bytes) -> relay.Answer:
+def _decode(
+    call: relay.Call,
+    status: int,
+    body: bytes,
+    complaints: _complaints.Complaints | None = None,
+) -> relay.Answer:
     if status == _GONE:
         return relay.Answer(relay.Status.FORGOTTEN)
     if status in _REFUSALS:
         return relay.Answer(relay.Status.REFUSED)
     if status != _OK:
         return relay.Answer(relay.Status.UNKNOWN)
+    if complaints is None:
+        complaints = _complaints.Complaints()
     try:
-        return _convert(json.loads(body))
-    except (ValueError, LookupError, TypeError, AttributeError):
+        fields = _fields.Fields(_parse(body))
+        return _AnswerReader(call.topic, complaints).read(fields)
+    except (ValueError, RecursionError, errors.DecodeError) as error:
+        complaints.note(
+            _complaints.ANSWER, call.topic, 0, type(error).__name__
+        )
         return relay.Answer(relay.Status.UNKNOWN)
 
 
-def _convert(fields: dict[str, object]) -> relay.Answer:
-    if 'events' in fields:
-        items = [
-            _convert_item(each['object'], each['deleted'])
-            for each in fields['events']
-        ]
-        return relay.Answer(relay.Status.OK, items, int(fields['current_rev']))
-    return relay.Answer(
-        relay.Status.OK,
-        [_convert_item(each, False) for each in fields['items']],
-        int(fields['current_rev']),
-        bool(fields['truncated']),
-    )
+def _parse(body: bytes) -> object:
+    try:
+        return json.loads(body)
+    except (UnicodeDecodeError, RecursionError):
+        # Bytes that are no text become characters that no text may hold:
+        # only the objects that have them are unusable then.
+        text = body.decode('utf-8', 'surrogateescape')
+        return json.loads(_flatten(text))
+
+
+def _flatten(text: str) -> str:
+    """Put null in place of all that is nested too deeply to be read.
+
+    :param text: JSON.
+    :returns: JSON that the library reads, whoever wrote it.
+    """
+    parts = []
+    depth = begin = 0
+    for found in _NESTING.finditer(text):
+        mark = found.group()
+        if mark in _OPENING:
+            depth += 1
+            if depth == _MOST_DEPTH:
+                parts += (text[begin : found.start()], 'null')
+        elif mark in _CLOSING:
+            if depth == _MOST_DEPTH:
+                begin = found.end()
+            depth -= 1
+    return ''.join((*parts, text[begin:]))
+
+
+class _AnswerReader:
+    """Reads the objects of an answer; those that it can't are left out.
+
+    :param topic: the topic that was asked for.
+    :param complaints: where these are noted.
+    """
+
+    __slots__ = ('_complaints', '_topic')
+
+    def __init__(self, topic: str, complaints: _complaints.Complaints) -> None:
+        self._topic = topic
+        self._complaints = complaints
+
+    def read(self, fields: _fields.Fields) -> relay.Answer:
+        """Read an answer.
+
+        :param fields: what it holds.
+        :returns: the answer.
+        :raises DecodeError: if it is no listing and no list of events.
+        """
+        revision = fields.get_count('current_rev', 0, _MOST_REVISION)
+        if fields.has('events'):
+            items = self._read_all(fields.get_list('events'), _read_event)
+            return relay.Answer(relay.Status.OK, items, revision)
+        items = self._read_all(fields.get_list('items'), _read_object)
+        is_truncated = fields.is_set('truncated')
+        return relay.Answer(relay.Status.OK, items, revision, is_truncated)
+
+    def _read_all(
+        self,
+        values: list[object],
+        read: Callable[[_fields.Fields], relay.Item],
+    ) -> list[relay.Item]:
+        items = []
+        for value in values:
+            try:
+                item = read(_fields.Fields(value))
+            except errors.DecodeError as error:
+                self._complaints.note(
+                    _complaints.OBJECT, self._topic, 0, error.reason
+                )
+                continue
+            self._check_value(item)
+            items.append(item)
+        return items
+
+    def _check_value(self, item: relay.Item) -> None:
+        """Empty a value that peers could not be sent.
+
+        :param item: the object; an empty one names nothing to use.
+        """
+        if item.value is None:
+            return
+        try:
+            size = relay.measure_value(item.value)
+            if size <= _MOST_BYTES.get(self._topic, size):
+                return
+            reason = 'the value is too large'
+        except errors.DecodeError as error:
+            reason = error.reason
+        item.value = {}
+        self._complaints.note(
+            _complaints.OBJECT, item.path, item.revision, reason
+        )
+
+
+def _read_event(fields: _fields.Fields) -> relay.Item:
+    item = _read_object(fields.get_fields('object'))
+    if fields.get_flag('deleted'):
+        item.value = None
+    return item
 
 
-def _convert_item(fields: dict[str, object], is_deleted: bool) -> relay.Item:
-    meta = fields['meta']
+def _read_object(fields: _fields.Fields) -> relay.Item:
+    meta = fields.get_fields('meta')
+    name = meta.get_text('name')
+    if not name.isprintable():
+        raise errors.DecodeError('name: printable text is wanted')
     return relay.Item(
-        str(meta['name']),
-        int(meta['rev']),
-        int(meta['create_rev']),
-        None if is_deleted else fields['spec'],
+        name,
+        meta.get_count('rev', 0, _MOST_REVISION),
+        meta.get_count('create_rev', 0, _MOST_REVISION),
+        fields.get_map('spec'),
     )
--- a/skylarkfold/relay/_announcer.py
+++ b/skylarkfold/relay/_announcer.py
@@ -70,8 +70,9 @@
         """Tell the neighbours of this zone of upstreams.
 
         :param now: the time.
-        :param doubts: tokens of those in doubt; whoever hears them says so.
-        :param lost: tokens of those found out of reach.
+        :param doubts: incarnations of those in doubt; whoever hears them
+            says so.
+        :param lost: incarnations of those found out of reach.
         :returns: effects.
         """
         hosts = self._peers.list_hosts(is_near=True)
@@ -89,7 +90,7 @@
 
         :param now: the time.
         :param host: the peer.
-        :param heard: how many seconds ago, by token.
+        :param heard: how many seconds ago, by incarnation.
         :returns: effects.
         """
         if not heard:
--- a/skylarkfold/relay/_codec.py
+++ b/skylarkfold/relay/_codec.py
@@ -66,8 +66,8 @@
                 each.is_zone,
                 int(each.age_seconds * 1000),
                 {
-                    token: [load.flows, round(load.busy * _BUSY_STEPS)]
-                    for token, load in each.loads.items()
+                    start: [load.flows, round(load.busy * _BUSY_STEPS)]
+                    for start, load in each.loads.items()
                 },
             ]
             for each in beacon.loads
@@ -83,7 +83,7 @@
             for each in beacon.hearsay
         ],
         beacon.doubts,
-        {token: int(age * 1000) for token, age in beacon.heard.items()},
+        {start: int(age * 1000) for start, age in beacon.heard.items()},
         beacon.lost,
         _pack_ages(beacon.ages),
         _pack_ages(beacon.silent),
@@ -157,6 +157,21 @@
     return len(msgpack.packb(_list(items)))
 
 
+def measure_value(value: dict[str, object]) -> int:
+    """Tell how large an object's value is in a message.
+
+    :param value: the value.
+    :returns: bytes.
+    :raises DecodeError: if no message can hold it: numbers beyond 64 bits,
+        characters that no text may hold, or lists in lists without end.
+    """
+    try:
+        # As deep as it stands in a beacon.
+        return len(msgpack.packb([[[[value]]]]))
+    except (ArithmeticError, ValueError, RecursionError) as error:
+        raise errors.DecodeError(type(error).__name__) from None
+
+
 def _decode(data, convert):
     try:
         fields = msgpack.unpackb(data, strict_map_key=False)
@@ -208,12 +223,12 @@
             )
             for name, zone, host, capacity, age in _check_list(hearsay)
         ),
-        tuple(_check_count(token) for token in _check_list(doubts)),
+        tuple(_check_count(each) for each in _check_list(doubts)),
         {
-            _check_count(token): _check_count(age) / 1000
-            for token, age in heard.items()
+            _check_count(start): _check_count(age) / 1000
+            for start, age in heard.items()
         },
-        tuple(_check_count(token) for token in _check_list(lost)),
+        tuple(_check_count(each) for each in _check_list(lost)),
         _unpack_ages(ages),
         _unpack_ages(silent),
     )
@@ -248,10 +263,10 @@
         bool(is_zone),
         _check_count(age) / 1000,
         {
-            _check_count(token): upstream_load.UpstreamLoad(
+            _check_count(start): upstream_load.UpstreamLoad(
                 _check_count(flows), _check_count(busy) / _BUSY_STEPS
             )
-            for token, (flows, busy) in loads.items()
+            for start, (flows, busy) in loads.items()
         },
     )
 
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -93,7 +93,7 @@
     def set_loads(self, loads: dict[int, upstream_load.UpstreamLoad]) -> None:
         """Take what peers are to be told of this instance's load.
 
-        :param loads: by token of the upstream.
+        :param loads: by incarnation of the upstream.
         """
         self._own.loads = loads
 
--- a/skylarkfold/relay/_effect.py
+++ b/skylarkfold/relay/_effect.py
@@ -74,7 +74,7 @@
     """Others have told what they carry of upstreams.
 
     :param source: the instance, or ``zone:NAME`` for all of a zone.
-    :param loads: by token of the upstream.
+    :param loads: by incarnation of the upstream.
     """
 
     __slots__ = ('loads', 'source')
@@ -90,20 +90,20 @@
     """A peer doubts some upstreams: tell it through ``RelayCore.answer``.
 
     :param host: the peer's.
-    :param tokens: the upstreams' tokens.
+    :param incarnations: of the upstreams.
     """
 
-    __slots__ = ('host', 'tokens')
+    __slots__ = ('host', 'incarnations')
 
-    def __init__(self, host: str, tokens: tuple[int, ...]) -> None:
+    def __init__(self, host: str, incarnations: tuple[int, ...]) -> None:
         self.host = host
-        self.tokens = tokens
+        self.incarnations = incarnations
 
 
 class TakeHeard:
     """A peer has said which upstreams it heard.
 
-    :param heard: how many seconds ago, by token.
+    :param heard: how many seconds ago, by incarnation.
     """
 
     __slots__ = ('heard',)
@@ -115,13 +115,13 @@
 class TakeLost:
     """A peer of this zone has found upstreams out of reach.
 
-    :param tokens: the upstreams' tokens.
+    :param incarnations: of the upstreams.
     """
 
-    __slots__ = ('tokens',)
+    __slots__ = ('incarnations',)
 
-    def __init__(self, tokens: tuple[int, ...]) -> None:
-        self.tokens = tokens
+    def __init__(self, incarnations: tuple[int, ...]) -> None:
+        self.incarnations = incarnations
 
 
 class Note:
--- a/skylarkfold/relay/_messages.py
+++ b/skylarkfold/relay/_messages.py
@@ -77,7 +77,7 @@
     :param source: the instance or zone.
     :param is_zone: whether it is a zone's.
     :param age_seconds: how old it is.
-    :param loads: by token of the upstream.
+    :param loads: by incarnation of the upstream.
     """
 
     __slots__ = ('age_seconds', 'is_zone', 'loads', 'source')
@@ -107,11 +107,11 @@
     :param news: changes, where they are small.
     :param loads: its own load, and now and then those of zones.
     :param hearsay: some of the instances that it knows.
-    :param doubts: tokens of upstreams that the receiver shall say of
+    :param doubts: incarnations of upstreams that the receiver shall say of
         whether it has heard them.
     :param heard: how many seconds ago it heard the upstreams that the
-        receiver doubts, by token.
-    :param lost: tokens of upstreams that it has just found out of reach.
+        receiver doubts, by incarnation.
+    :param lost: incarnations of upstreams that it has just found out of reach.
     :param ages: how many seconds ago instances were last heard by anyone,
         by the digests of their names.
     :param silent: the same for instances that are silent to a neighbour.
--- a/skylarkfold/relay/_pace.py
+++ b/skylarkfold/relay/_pace.py
@@ -6,7 +6,7 @@
 
 from skylarkfold.relay import _messages
 
-# An upstream's entry in a report: five bytes of token, a list, two counts.
+# An upstream's entry in a report: five bytes of its start, a list, two counts.
 _ENTRY_BYTES = 8
 # A report with its source and age.
 _REPORT_BYTES = 24
--- a/skylarkfold/relay/_peer.py
+++ b/skylarkfold/relay/_peer.py
@@ -20,7 +20,7 @@
     :ivar near_since: when it became a neighbour; None for one that is none.
     :ivar back_at: when it was first heard after a silence.
     :ivar positions: what it last said to know, by topic.
-    :ivar loads: what it last said to carry, by token of the upstream.
+    :ivar loads: what it last said to carry, by incarnation of the upstream.
     :ivar is_reachable: whether it was heard lately.
     :ivar lost_at: when it had last been heard when it was found silent.
     :ivar told_at: when it was last told of others.
--- a/skylarkfold/relay/_peers.py
+++ b/skylarkfold/relay/_peers.py
@@ -247,14 +247,14 @@
     def sum_loads(self) -> dict[int, upstream_load.UpstreamLoad]:
         """Sum up what the instances of this zone carry.
 
-        :returns: by token of the upstream.
+        :returns: by incarnation of the upstream.
         """
         total: dict[int, upstream_load.UpstreamLoad] = {}
         for peer in self.members.values():
             if peer.zone == self._own.zone and peer.is_reachable:
-                for token, load in peer.loads.items():
-                    known = total.get(token, upstream_load.NOTHING)
-                    total[token] = known.add(load)
+                for upstream, load in peer.loads.items():
+                    known = total.get(upstream, upstream_load.NOTHING)
+                    total[upstream] = known.add(load)
         return total
 
     def list_lost_seeds(self) -> list[str]:
--- a/skylarkfold/tests/affinity/samples.py
+++ b/skylarkfold/tests/affinity/samples.py
@@ -76,6 +76,15 @@
     return [each.flow for each in effects if isinstance(each, affinity.Reset)]
 
 
+def list_asked(effects):
+    """List the upstreams that peers are asked of."""
+    return [
+        each.upstream.name
+        for each in effects
+        if isinstance(each, affinity.AskPeers)
+    ]
+
+
 def list_probes(effects):
     """List the upstreams that are probed."""
     return [
--- /dev/null
+++ b/skylarkfold/tests/affinity/test_restart.py
@@ -0,0 +1,288 @@
+"""Upstreams that start again under the name that they had."""
+
+import testtools
+
+from skylarkfold import affinity
+from skylarkfold.tests.affinity import samples
+from skylarkfold import upstream_load
+
+BORN = 1764720000123
+# The store's revisions of the entries of both starts.
+FIRST = 5
+SECOND = 9
+# A flow that is open for so long when the new entry comes is of the earlier
+# start for certain, one that is open since just now may be of the later.
+LONG = 20.0
+
+
+def build(number=1, born=BORN, revision=FIRST, **fields):
+    return samples.build_upstream(
+        number, created=3, revision=revision, born=born, **fields
+    )
+
+
+class RestartTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.first = build()
+        self.second = build(born=BORN + 5000, revision=SECOND)
+        self.core = samples.build_core(self.first)
+        self.core.note_present(0.0)
+
+    def open_flow(self, now, port, core=None):
+        core = core or self.core
+        core.take_packet(now, samples.build_first(port))
+        packet = samples.build_packet(port, self.first.token)
+        effects = core.take_packet(now + 0.01, packet)
+        self.assertEqual([self.first.name], samples.list_forwards(effects))
+
+    def send(self, now, port, length=100, core=None):
+        core = core or self.core
+        packet = samples.build_packet(
+            port, self.first.token, int(now * 1000), 501, length
+        )
+        return core.take_packet(now, packet)
+
+    def get_standing(self):
+        return self.core.directory.get(self.first.name)
+
+    def test_nothing_of_the_start_before_holds(self):
+        self.open_flow(0.0, 1)
+        loads = {self.first.incarnation: upstream_load.UpstreamLoad(7, 3.0)}
+        self.core.take_load(0.1, 'peer', loads)
+        before = self.get_standing()
+        before.health = 'out-of-reach'
+        before.hasty_share = 0.9
+        before.avoided_until = 1000.0
+        self.core.set_upstreams(1.0, [self.second])
+        standing = self.get_standing()
+        self.assertIsNot(before, standing)
+        self.assertEqual('good', standing.health)
+        self.assertEqual(0.0, standing.hasty_share)
+        self.assertEqual(0, standing.load)
+        self.assertEqual(0.0, standing.waiting)
+        self.assertLess(standing.avoided_until, 1.0)
+        self.assertLess(standing.last_heard, 0.0)
+        self.assertEqual(0, self.core.count_flows())
+
+    def test_a_lapse_of_the_start_before_does_not_hold(self):
+        self.core.set_upstreams(1.0, [])
+        self.core.set_upstreams(2.0, [self.second])
+        self.assertIsNone(self.get_standing().lapsed_at)
+        effects = self.core.take_packet(2.1, samples.build_first(1))
+        self.assertEqual([self.second.name], samples.list_forwards(effects))
+
+    def test_the_same_start_keeps_all(self):
+        before = self.get_standing()
+        again = build(revision=SECOND, is_draining=True)
+        self.core.set_upstreams(1.0, [again])
+        self.assertIs(before, self.get_standing())
+
+    def test_clocks_don_t_tell_which_start_is_later(self):
+        for born in (BORN - 86_400_000, BORN + 1, None):
+            before = self.get_standing()
+            other = build(born=born, revision=SECOND)
+            self.core.set_upstreams(1.0, [other])
+            self.assertIsNot(before, self.get_standing())
+            self.assertIs(other, self.get_standing().upstream)
+            self.core.set_upstreams(2.0, [self.first])
+
+    def test_another_address_or_service_is_another_start(self):
+        for fields in (
+            {'address': ('10.9.9.9', 80)},
+            {'service': samples.OTHER_SERVICE},
+        ):
+            before = self.get_standing()
+            other = build(revision=SECOND, **fields)
+            self.core.set_upstreams(1.0, [other])
+            self.assertIsNot(before, self.get_standing())
+            self.core.set_upstreams(2.0, [self.first])
+
+    def test_older_words_of_peers_are_not_of_the_new_start(self):
+        self.core.set_upstreams(1.0, [self.second])
+        old = self.first.incarnation
+        loads = {old: upstream_load.UpstreamLoad(7, 3.0)}
+        self.core.take_load(1.1, 'peer', loads)
+        self.core.take_heard(1.1, {old: 0.0})
+        effects = self.core.take_lost(1.1, [old])
+        self.assertEqual([], effects)
+        self.assertEqual({}, self.core.list_heard(1.1, [old]))
+        standing = self.get_standing()
+        self.assertEqual(0, standing.load)
+        self.assertLess(standing.last_heard, 0.0)
+        self.assertEqual('good', standing.health)
+
+    def test_words_of_peers_who_were_first_hold_once_it_is_known(self):
+        loads = {self.second.incarnation: upstream_load.UpstreamLoad(7, 3.0)}
+        self.core.take_load(0.9, 'peer', loads)
+        self.assertEqual(0, self.get_standing().load)
+        self.core.set_upstreams(1.0, [self.second])
+        self.assertEqual(7, self.get_standing().load)
+
+    def test_a_probe_of_the_start_before_says_nothing(self):
+        core = self.core
+        self.open_flow(0.0, 1)
+        self.send(1.0, 1)
+        core.tick(1.2)
+        (probed,) = samples.list_probes(core.tick(1.25))
+        self.assertEqual(self.first.name, probed)
+        core.set_upstreams(1.3, [self.second])
+        core.take_probe(
+            1.35, probed, affinity.ProbeOutcome.REFUSED, self.first.incarnation
+        )
+        standing = self.get_standing()
+        self.assertEqual('good', standing.health)
+        self.assertEqual(0, standing.failures)
+        core.take_probe(
+            1.35, probed, affinity.ProbeOutcome.ALIVE, self.first.incarnation
+        )
+        self.assertLess(standing.alive_at, 0.0)
+
+    def test_old_flows_are_ended_at_once(self):
+        self.open_flow(0.0, 1)
+        self.core.note_present(LONG)
+        effects = self.core.set_upstreams(LONG, [self.second])
+        self.assertEqual([samples.build_flow(1)], samples.list_resets(effects))
+
+    def test_old_flows_with_a_request_that_runs_once_are_ended_too(self):
+        routes = samples.build_routes(is_idempotent=False)
+        core = samples.build_core(self.first, routes=routes)
+        self.open_flow(0.0, 1, core)
+        self.send(LONG - 0.01, 1, core=core)
+        core.note_present(LONG)
+        effects = core.set_upstreams(LONG, [self.second])
+        self.assertEqual([samples.build_flow(1)], samples.list_resets(effects))
+
+    def test_a_flow_that_may_be_of_the_new_start_is_never_reset(self):
+        # Its process ended 4.6 s before the store removed the entry, and
+        # the first packet had waited for 1.3 s.
+        self.open_flow(LONG - 5.9, 1)
+        self.core.note_present(LONG)
+        effects = self.core.set_upstreams(LONG, [self.second])
+        self.assertEqual([], samples.list_resets(effects))
+        effects = self.send(LONG + 0.1, 1)
+        self.assertEqual([], samples.list_resets(effects))
+        self.assertEqual([self.second.name], samples.list_forwards(effects))
+        self.assertEqual(1, self.get_standing().flows)
+
+    def test_while_the_store_is_away_no_flow_is_known_to_be_old(self):
+        # Confirmed last at 0 s; the restart may have been any time since.
+        self.open_flow(1.0, 1)
+        effects = self.core.set_upstreams(LONG, [self.second])
+        self.assertEqual([], samples.list_resets(effects))
+
+    def test_a_lapse_ends_what_is_known_of_the_start_before(self):
+        self.open_flow(0.0, 1)
+        self.open_flow(LONG, 2)
+        self.core.note_present(LONG + 0.9)
+        self.core.set_upstreams(LONG + 1.0, [])
+        self.core.note_present(LONG + 50.0)
+        self.send(LONG + 50.0, 1)
+        self.send(LONG + 50.0, 2)
+        effects = self.core.set_upstreams(LONG + 50.0, [self.second])
+        self.assertEqual([samples.build_flow(1)], samples.list_resets(effects))
+
+    def test_a_lapse_that_is_heard_of_late_ends_no_flow(self):
+        # It started again at 1 s, was cut off from the store and lapsed at
+        # 5 s; this instance heard of neither until long after.
+        self.open_flow(2.0, 1)
+        self.core.set_upstreams(LONG, [])
+        self.core.note_present(LONG)
+        effects = self.core.set_upstreams(LONG + 1.0, [self.second])
+        self.assertEqual([], samples.list_resets(effects))
+
+    def test_a_request_to_the_start_before_is_no_doubt_of_the_new_one(self):
+        self.open_flow(0.0, 1)
+        self.send(1.0, 1)
+        self.core.set_upstreams(1.05, [self.second])
+        for number in range(1, 30):
+            self.assertEqual([], self.core.tick(1.05 + number / 20))
+        self.assertEqual('good', self.get_standing().health)
+
+    def test_a_first_packet_to_the_start_before_is_no_doubt_either(self):
+        self.core.take_packet(1.0, samples.build_first(1))
+        self.core.set_upstreams(1.01, [self.second])
+        self.assertEqual([], samples.list_asked(self.core.tick(1.1)))
+        self.assertEqual('good', self.get_standing().health)
+
+    def test_a_flow_that_goes_on_is_no_word_of_the_new_start(self):
+        self.open_flow(0.0, 1)
+        self.core.set_upstreams(1.0, [self.second])
+        self.send(1.1, 1)
+        self.assertLess(self.get_standing().last_heard, 0.0)
+        self.assertEqual(1, self.get_standing().flows)
+
+    def test_an_answer_to_whatever_start_is_no_word_of_the_new_one(self):
+        self.core.take_packet(1.0, samples.build_first(1))
+        self.core.set_upstreams(1.01, [self.second])
+        self.send(1.1, 1)
+        self.assertLess(self.get_standing().last_heard, 0.0)
+
+    def test_flows_of_one_that_had_its_new_address_are_ended(self):
+        other = samples.build_upstream(
+            2, created=7, revision=7, address=('10.0.0.77', 80)
+        )
+        core = samples.build_core(other)
+        core.take_packet(0.0, samples.build_first(1))
+        core.take_packet(0.01, samples.build_packet(1, other.token))
+        # The name's entry was created before that of whose address it has.
+        moved = build(revision=SECOND, address=other.address)
+        effects = core.set_upstreams(5.0, [moved])
+        self.assertEqual([samples.build_flow(1)], samples.list_resets(effects))
+
+    def test_both_orders_end_alike(self):
+        other = samples.build_core(self.second)
+        self.core.set_upstreams(1.0, [self.second])
+        for core in (self.core, other):
+            effects = core.take_packet(2.0, samples.build_first(1))
+            self.assertEqual(
+                [self.second.name], samples.list_forwards(effects)
+            )
+        self.assertEqual(
+            self.core.list_loads(2.0).keys(), other.list_loads(2.0).keys()
+        )
+
+
+class ServicesTest(testtools.TestCase):
+    """Entries of services that no configuration names."""
+
+    def setUp(self):
+        super().setUp()
+        self.known = samples.build_upstream(1, created=9)
+        # The older of two keeps a token that both have.
+        self.foreign = samples.build_upstream(
+            (1 << 32) + 1, 'unheard-of', created=2
+        )
+
+    def build_routes(self, version, *services):
+        route = affinity.Route(samples.ADDRESS, ((samples.SERVICE, 1),))
+        return affinity.RouteTable(version, [route], services=services)
+
+    def test_one_of_no_service_takes_nothing_from_others(self):
+        routes = self.build_routes(1, samples.SERVICE)
+        core = samples.build_core(self.known, self.foreign, routes=routes)
+        effects = core.take_packet(1.0, samples.build_first(1))
+        self.assertEqual([self.known.name], samples.list_forwards(effects))
+        self.assertIsNone(core.directory.get(self.foreign.name))
+
+    def test_it_counts_as_soon_as_its_service_is_named(self):
+        routes = self.build_routes(1, samples.SERVICE)
+        other = samples.build_upstream(2, samples.OTHER_SERVICE)
+        core = samples.build_core(self.known, other, routes=routes)
+        self.assertIsNone(core.directory.get(other.name))
+        core.set_routes(
+            1.0, self.build_routes(2, samples.SERVICE, samples.OTHER_SERVICE)
+        )
+        self.assertIsNotNone(core.directory.get(other.name))
+
+    def test_flows_stay_where_a_service_is_named_no_more(self):
+        core = samples.build_core(
+            self.known, routes=self.build_routes(1, samples.SERVICE)
+        )
+        core.take_packet(1.0, samples.build_first(1))
+        core.take_packet(1.01, samples.build_packet(1, self.known.token))
+        core.set_routes(1.5, self.build_routes(2, 'another'))
+        effects = core.take_packet(
+            2.0, samples.build_packet(1, self.known.token, 900, 501, 10)
+        )
+        self.assertEqual([self.known.name], samples.list_forwards(effects))
--- /dev/null
+++ b/skylarkfold/tests/platform/test_foreign.py
@@ -0,0 +1,363 @@
+"""Entries, routes and objects as another writer may leave them."""
+
+import json
+
+import hypothesis
+from hypothesis import strategies
+import msgpack
+import testtools
+
+from skylarkfold import affinity
+from skylarkfold.platform import _complaints
+from skylarkfold.platform import _objects
+from skylarkfold.platform import _store
+from skylarkfold import relay
+from skylarkfold.tests.platform import test_objects
+
+NAME = 'i-7f3a91c2'
+GOOD = 'i-00000000a1'
+BORN = 1764720000123
+ENTRY = {**test_objects.ENTRY, 'born': BORN}
+MISSING = object()
+
+# Each names no upstream: a field and what stands there.
+MALFORMED = (
+    ('state', 'paused'),
+    ('state', 'READY'),
+    ('state', 3),
+    ('state', None),
+    ('state', ['ready']),
+    ('state', MISSING),
+    ('max_concurrency', 0),
+    ('max_concurrency', -3),
+    ('max_concurrency', True),
+    ('max_concurrency', '2'),
+    ('max_concurrency', 2.5),
+    ('max_concurrency', 10**18),
+    ('max_concurrency', 2**70),
+    ('max_concurrency', MISSING),
+    ('service', None),
+    ('service', 7),
+    ('service', ['archebu']),
+    ('service', ''),
+    ('service', MISSING),
+    ('zone', None),
+    ('zone', 4),
+    ('zone', ''),
+    ('zone', MISSING),
+    ('address', '10.128.0.9:0'),
+    ('address', '10.128.0.9:65536'),
+    ('address', '10.128.0.9:-1'),
+    ('address', '10.128.0.9:+80'),
+    ('address', '10.128.0.9: 80'),
+    ('address', '10.128.0.9:8_0'),
+    ('address', '10.128.0.9:٣'),
+    ('address', '10.128.0.9'),
+    ('address', '10.1:80'),
+    ('address', '0x0a800009:80'),
+    ('address', 'upstream:80'),
+    ('address', ':80'),
+    ('address', ['10.128.0.9', 80]),
+    ('address', MISSING),
+    ('version', 1),
+    ('version', None),
+    ('version', MISSING),
+    ('warmup_left_ms', 'soon'),
+    ('warmup_left_ms', float('inf')),
+    ('warmup_left_ms', float('nan')),
+    ('warmup_left_ms', -1),
+    ('warmup_left_ms', True),
+    ('warmup_left_ms', 10**18),
+    ('warmup_left_ms', MISSING),
+    ('sequence', '4'),
+    ('sequence', -1),
+    ('sequence', 4.0),
+    ('sequence', None),
+    ('sequence', MISSING),
+    ('born', None),
+    ('born', str(BORN)),
+    ('born', float(BORN)),
+    ('born', True),
+    ('born', -1),
+    ('born', 0),
+    ('born', [BORN]),
+    ('born', 2**64),
+)
+# Names that hold no number of an upstream.
+NAMES = (
+    'i-+a1',
+    'i-0x_a1',
+    'i-0xa1',
+    'i-٣',
+    'i-0',
+    'i-',
+    'i',
+    'i-a_1',
+    'i- a1',
+    'i-a1\n',
+    'i-10000000000000000',
+)
+# Values that JSON may hold and MessagePack, or a later text, can't.
+UNSENDABLE = (2**64, -(2**63) - 1, '\ud800', {'\ud800': 1}, [[2**70]])
+
+
+def build_entry(field, value):
+    """Build an entry of which one field is another writer's."""
+    entry = {**ENTRY, field: value}
+    if value is MISSING:
+        del entry[field]
+    return entry
+
+
+def decode(*items):
+    """Read entries."""
+    return _objects.UpstreamDecoder().decode(items)
+
+
+class EntriesTest(testtools.TestCase):
+    def test_an_entry_of_the_pages_is_read(self):
+        (upstream,) = decode(relay.Item(NAME, 5, 3, ENTRY))
+        self.assertEqual(BORN, upstream.born)
+        self.assertEqual(5, upstream.revision)
+
+    def test_the_start_may_be_left_unsaid(self):
+        (upstream,) = decode(relay.Item(NAME, 5, 3, test_objects.ENTRY))
+        self.assertIsNone(upstream.born)
+        self.assertEqual(upstream.token, upstream.incarnation)
+
+    def test_fields_that_nobody_knows_are_no_fault(self):
+        entry = {**ENTRY, 'rack': {'row': [1]}}
+        self.assertEqual(1, len(decode(relay.Item(NAME, 5, 3, entry))))
+
+    def test_what_is_malformed_names_no_upstream(self):
+        taken = []
+        for field, value in MALFORMED:
+            bad = relay.Item(NAME, 9, 8, build_entry(field, value))
+            good = relay.Item(GOOD, 5, 3, ENTRY)
+            found = [each.name for each in decode(bad, good)]
+            self.assertIn(GOOD, found, (field, value))
+            if NAME in found:
+                taken.append((field, value))
+        self.assertEqual([], taken)
+
+    def test_names_without_a_number_name_no_upstream(self):
+        found = decode(
+            *(relay.Item(name, 9, 8, ENTRY) for name in NAMES),
+            relay.Item(GOOD, 5, 3, ENTRY),
+        )
+        self.assertEqual([GOOD], [each.name for each in found])
+
+    def test_one_that_turns_malformed_names_none_any_more(self):
+        decoder = _objects.UpstreamDecoder(_complaints.Complaints())
+        good = relay.Item(GOOD, 5, 3, ENTRY)
+        both = decoder.decode([relay.Item(NAME, 6, 4, ENTRY), good])
+        self.assertEqual(2, len(both))
+        bad = build_entry('state', 'paused')
+        rest = decoder.decode([relay.Item(NAME, 7, 4, bad), good])
+        self.assertEqual([both[1]], rest)
+
+    def test_one_that_changes_with_each_beat_is_said_once(self):
+        complaints = _complaints.Complaints()
+        decoder = _objects.UpstreamDecoder(complaints)
+        lines = []
+        complaints.say = lines.append
+        for beat in range(50):
+            bad = {**build_entry('state', 'paused'), 'sequence': beat}
+            decoder.decode([relay.Item(NAME, 10 + beat, 4, bad)])
+        self.assertEqual(1, len(lines))
+        self.assertEqual({'unusable.upstream': 50}, complaints.counters)
+
+    def test_many_writers_can_t_fill_the_memory(self):
+        complaints = _complaints.Complaints()
+        lines = []
+        complaints.say = lines.append
+        for number in range(10_000):
+            complaints.note('upstream', f'i-x{number}', 1, 'no hex')
+        self.assertEqual(_complaints.MOST_REMEMBERED, len(lines))
+        self.assertEqual({'unusable.upstream': 10_000}, complaints.counters)
+
+
+class RoutesTest(testtools.TestCase):
+    def decode(self, value):
+        complaints = _complaints.Complaints()
+        self.complaints = complaints
+        item = relay.Item('main', 5, 3, value)
+        return _objects.decode_routes([item], complaints)
+
+    def test_one_unusable_route_does_not_hide_the_others(self):
+        odd = (
+            None,
+            {},
+            {'host': '198.18.0.1', 'path_prefix': '/0/', 'service': 'a'},
+            {'host': '198.18.1', 'path_prefix': '/80/', 'service': 'a'},
+            {'host': '198.18.0.9', 'path_prefix': '/+8/', 'service': 'a'},
+            {'host': '198.18.0.9', 'path_prefix': '/80/', 'service': 7},
+            {'host': '198.18.0.9', 'path_prefix': '/80/'},
+            {
+                'host': '198.18.0.9',
+                'path_prefix': '/80/',
+                'traffic_split': [{'service': 'a', 'weight': -1}],
+            },
+            {
+                'host': '198.18.0.9',
+                'path_prefix': '/80/',
+                'service': 'a',
+                'priority': 'high',
+            },
+        )
+        routes = [*odd, *test_objects.CONFIGURATION['routes']]
+        table = self.decode({**test_objects.CONFIGURATION, 'routes': routes})
+        self.assertEqual(2, len(table))
+        self.assertEqual(
+            {'unusable.route': len(odd)}, self.complaints.counters
+        )
+
+    def test_limits_that_can_t_be_read_have_a_default(self):
+        for limits in (None, {}, {'idle_timeout_ms': 'long'}, {'x': 1}):
+            table = self.decode(
+                {**test_objects.CONFIGURATION, 'limits': limits}
+            )
+            self.assertEqual(2, len(table))
+            self.assertEqual(60.0, table.idle_seconds)
+
+    def test_without_a_version_there_are_no_routes(self):
+        for version in (None, True, -1, '7', 7.0, 2**70):
+            value = {**test_objects.CONFIGURATION, 'version': version}
+            self.assertIsNone(self.decode(value))
+
+    def test_the_services_are_those_that_are_declared_or_used(self):
+        services = [{'name': 'caer'}, {'name': 4}, None]
+        table = self.decode(
+            {**test_objects.CONFIGURATION, 'services': services}
+        )
+        self.assertEqual({'archebu', 'tocyn', 'caer'}, table.services)
+
+
+class ObjectsTest(testtools.TestCase):
+    def decode(self, body):
+        call = relay.Call('servers', None, '', 0.0, 1.0)
+        return _store._decode(call, 200, body, _complaints.Complaints())
+
+    @staticmethod
+    def wrap(name, spec, rev=5):
+        meta = {'name': name, 'rev': rev, 'create_rev': 3}
+        return {'meta': meta, 'spec': spec, 'status': None}
+
+    def list_page(self, *objects):
+        body = {'items': objects, 'truncated': False, 'current_rev': 9}
+        return self.decode(json.dumps(body).encode())
+
+    def test_one_unreadable_object_does_not_hide_the_others(self):
+        good = self.wrap(GOOD, ENTRY)
+        odd = (
+            None,
+            7,
+            'text',
+            [],
+            {},
+            {'meta': None, 'spec': ENTRY},
+            {'meta': {'name': 'i-1'}, 'spec': ENTRY},
+            {'meta': {'name': 7, 'rev': 5, 'create_rev': 3}, 'spec': ENTRY},
+            {'meta': {'name': '', 'rev': 5, 'create_rev': 3}, 'spec': ENTRY},
+            self.wrap('\ud800', ENTRY),
+            self.wrap('i-2', ENTRY, rev='5'),
+            self.wrap('i-2', ENTRY, rev=-5),
+            self.wrap('i-2', ENTRY, rev=2**70),
+        )
+        for each in odd:
+            answer = self.list_page(each, good)
+            self.assertEqual(relay.Status.OK, answer.status, each)
+            self.assertEqual([GOOD], [item.path for item in answer.items])
+
+    def test_one_unreadable_event_does_not_hide_the_others(self):
+        events = [
+            {'object': None, 'deleted': False},
+            {'deleted': False},
+            None,
+            {'object': self.wrap('i-2', ENTRY), 'deleted': 'no'},
+            {'object': self.wrap(GOOD, ENTRY), 'deleted': False},
+        ]
+        body = {'events': events, 'current_rev': 9}
+        answer = self.decode(json.dumps(body).encode())
+        self.assertEqual([GOOD], [item.path for item in answer.items])
+
+    def test_a_value_that_is_none_stands_for_one_that_is_unusable(self):
+        for spec in (None, 'text', 7, [], [1], True):
+            answer = self.list_page(self.wrap('i-2', spec))
+            self.assertEqual([{}], [item.value for item in answer.items])
+            self.assertEqual([], decode(*answer.items))
+
+    def test_what_can_t_be_sent_to_peers_never_reaches_them(self):
+        for value in UNSENDABLE:
+            spec = {**ENTRY, 'more': value}
+            answer = self.list_page(self.wrap('i-2', spec))
+            page = relay.Page(0, 9, True, 0.0, answer.items)
+            read = relay.decode_page(relay.encode_page(page))
+            self.assertEqual([{}], [item.value for item in read.items])
+
+    def test_deep_values_do_not_hide_the_others(self):
+        # Beyond what the library reads, with brackets in texts.
+        deep = '[{"]": "[", "x": ' * 30_000 + '"}"' + '}]' * 30_000
+        spec = json.dumps(ENTRY)[:-1] + ', "more": ' + deep + '}'
+        text = json.dumps(
+            {
+                'items': [self.wrap(NAME, 'SPEC'), self.wrap(GOOD, ENTRY)],
+                'truncated': False,
+                'current_rev': 9,
+            }
+        ).replace('"SPEC"', spec)
+        answer = self.decode(text.encode())
+        self.assertEqual(
+            [NAME, GOOD], [each.name for each in decode(*answer.items)]
+        )
+        self.assertEqual(ENTRY, answer.items[1].value)
+
+    def test_bytes_that_are_no_text_spoil_their_own_object_only(self):
+        spec = {**ENTRY, 'zone': 'hall-MARK'}
+        text = json.dumps(
+            {
+                'items': [self.wrap('i-2', spec), self.wrap(GOOD, ENTRY)],
+                'truncated': False,
+                'current_rev': 9,
+            }
+        )
+        answer = self.decode(text.encode().replace(b'MARK', b'\xff\xfe'))
+        self.assertEqual(relay.Status.OK, answer.status)
+        found = decode(*answer.items)
+        self.assertIn(GOOD, [each.name for each in found])
+        for item in answer.items:
+            msgpack.packb(item.value)
+
+    @hypothesis.given(
+        strategies.recursive(
+            strategies.none()
+            | strategies.booleans()
+            | strategies.integers()
+            | strategies.floats()
+            | strategies.text(
+                strategies.characters(exclude_categories=()), max_size=5
+            ),
+            lambda inner: (
+                strategies.lists(inner, max_size=3)
+                | strategies.dictionaries(
+                    strategies.sampled_from([*ENTRY, 'more']),
+                    inner,
+                    max_size=4,
+                )
+            ),
+            max_leaves=8,
+        )
+    )
+    def test_any_value_beside_a_good_one(self, value):
+        spec = value
+        if isinstance(value, dict):
+            spec = {**ENTRY, **value}
+        answer = self.list_page(self.wrap(NAME, spec), self.wrap(GOOD, ENTRY))
+        page = relay.Page(0, 9, True, 0.0, answer.items)
+        read = relay.decode_page(relay.encode_page(page))
+        found = decode(*read.items)
+        self.assertIn(GOOD, [each.name for each in found])
+        for each in found:
+            self.assertIsInstance(each, affinity.Upstream)
+            self.assertLessEqual(1, each.slots)
+            self.assertLess(0, each.address[1])
