--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -15,13 +15,14 @@
 from skylarkfold.affinity import _opening
 from skylarkfold.affinity import _packet
 from skylarkfold.affinity import _placement
+from skylarkfold.affinity import _presence
 from skylarkfold.affinity import _route
 from skylarkfold.affinity import _settings
 from skylarkfold.affinity import _standing
 from skylarkfold.affinity import _tally
 from skylarkfold.affinity import _upstream
+from skylarkfold.affinity import _words
 from skylarkfold.affinity import _work
-from skylarkfold import upstream_load
 
 Reason = _effect.Reason
 
@@ -29,6 +30,9 @@
 class AffinityCore:
     """Places new flows, forwards known ones, finds what has failed.
 
+    What peers say and are told goes through methods of
+    :class:`._words.PeerWords`, which stand here under their names.
+
     :param zone: this instance's availability zone.
     :param settings: the limits.
     """
@@ -57,9 +61,22 @@
             zone, settings, self._directory, self._health, self.tally
         )
         self._held = _held.HeldPackets()
-        self._present: tuple[_upstream.Upstream, ...] = ()
-        self._present_at = float('-inf')
-        self._has_upstreams = False
+        self._presence = _presence.Presence(
+            settings,
+            self._directory,
+            self._health,
+            self._ending,
+            self._peer_loads,
+        )
+        words = _words.PeerWords(
+            settings, self._directory, self._health, self._peer_loads
+        )
+        self.take_load = words.take_load
+        self.list_loads = words.list_loads
+        self.take_heard = words.take_heard
+        self.list_heard = words.list_heard
+        self.take_lost = words.take_lost
+        self.note_present = self._presence.note_present
         self._confirmed_at = float('-inf')
         self._next_active = float('-inf')
         self._next_dormant = float('-inf')
@@ -67,7 +84,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether routes and upstreams are known."""
-        return self._has_upstreams and self._routes.version >= 0
+        return self._presence.is_known and self._routes.version >= 0
 
     @property
     def version(self) -> int:
@@ -91,13 +108,12 @@
         """
         if routes.version <= self._routes.version:
             return []
-        before, self._routes = self._routes, routes
+        self._routes = routes
         details = {'version': routes.version, 'routes': len(routes)}
         effects: list[object] = [
             _effect.Record('routes', 'in-force', details=details)
         ]
-        if self._has_upstreams and routes.services != before.services:
-            effects += self._apply_present(now)
+        effects += self._presence.set_services(now, routes.services)
         return effects + self._release(now)
 
     def set_upstreams(
@@ -109,51 +125,8 @@
         :param present: every upstream that has an entry.
         :returns: effects.
         """
-        self._present = tuple(present)
-        self._has_upstreams = True
-        return self._apply_present(now) + self._release(now)
-
-    def note_present(self, now: float) -> None:
-        """Note that the list of upstreams was the newest a moment ago.
-
-        :param now: when it was.
-        """
-        self._present_at = max(self._present_at, now)
-
-    def _apply_present(self, now: float) -> list[object]:
-        declared = self._routes.services
-        changes = self._directory.replace(
-            now,
-            [
-                each
-                for each in self._present
-                if not declared or each.service in declared
-            ],
-        )
-        self._peer_loads.apply()
-        effects: list[object] = []
-        ended: dict[_standing.Standing, float] = {}
-        for change in changes:
-            effects.append(_record_change(change))
-            if change.kind == _directory.Change.LAPSED:
-                change.standing.present_at = self._present_at
-                effects += self._health.take_lapse(now, change.standing)
-            elif change.former is not None:
-                ended[change.former] = self._compute_end(change.former)
-        effects += self._ending.end_former(now, ended)
-        replaced = [each for each in self._directory if each.is_replaced]
-        return effects + self._ending.end_flows(now, replaced)
-
-    def _compute_end(self, former: _standing.Standing) -> float:
-        """Tell when a start that has ended was there for certain.
-
-        A flow that is open since before then is of that start; a later one
-        may be of the next, which serves before its entry is known here.
-        """
-        present_at = self._present_at
-        if former.lapsed_at is not None:
-            present_at = former.present_at
-        return present_at - self._settings.entry_seconds
+        effects = self._presence.set_present(now, present)
+        return effects + self._release(now)
 
     def note_confirmed(self, now: float) -> None:
         """Note that the routes were the newest a moment ago.
@@ -162,35 +135,6 @@
         """
         self._confirmed_at = max(self._confirmed_at, now)
 
-    def take_load(
-        self,
-        now: float,
-        source: str,
-        loads: dict[int, upstream_load.UpstreamLoad],
-    ) -> None:
-        """Take what others carry.
-
-        :param now: the time.
-        :param source: who they are; a later word replaces an earlier one.
-        :param loads: by incarnation of their upstream.
-        """
-        self._peer_loads.take(now, source, loads)
-
-    def list_loads(self, now: float) -> dict[int, upstream_load.UpstreamLoad]:
-        """List what this instance carries, for its peers.
-
-        :param now: the time.
-        :returns: by incarnation of their upstream; requests on average
-            since this was last asked.
-        """
-        return {
-            standing.upstream.incarnation: upstream_load.UpstreamLoad(
-                standing.flows, standing.take_mean_busy(now)
-            )
-            for standing in self._directory
-            if standing.flows > 0
-        }
-
     def count_busy(self) -> int:
         """Count the requests in flight of this instance's flows."""
         return sum(standing.busy for standing in self._directory)
@@ -219,53 +163,6 @@
             return self._take_removed(now, packet, flow)
         return self._carry(now, packet, flow)
 
-    def list_heard(
-        self, now: float, incarnations: Iterable[int]
-    ) -> dict[int, float]:
-        """Answer a peer that doubts some upstreams.
-
-        :param now: the time.
-        :param incarnations: of the upstreams.
-        :returns: for those heard here, how many seconds ago, by
-            incarnation.
-        """
-        heard = {}
-        for incarnation in incarnations:
-            standing = self._directory.find_incarnation(incarnation)
-            if standing is None:
-                continue
-            age = now - standing.heard_at
-            if age <= self._settings.longest_wait_seconds:
-                heard[incarnation] = age
-        return heard
-
-    def take_heard(self, now: float, heard: dict[int, float]) -> None:
-        """Take what a peer has heard of upstreams in doubt.
-
-        :param now: the time.
-        :param heard: how many seconds ago, by incarnation.
-        """
-        for incarnation, age in heard.items():
-            standing = self._directory.find_incarnation(incarnation)
-            if standing is not None:
-                self._health.take_heard(now, standing, now - age)
-
-    def take_lost(
-        self, now: float, incarnations: Iterable[int]
-    ) -> list[object]:
-        """Take that a peer of this zone found upstreams out of reach.
-
-        :param now: the time.
-        :param incarnations: of the upstreams.
-        :returns: effects.
-        """
-        effects: list[object] = []
-        for incarnation in incarnations:
-            standing = self._directory.find_incarnation(incarnation)
-            if standing is not None:
-                effects += self._health.take_lost(now, standing)
-        return effects
-
     def take_probe(
         self,
         now: float,
@@ -478,20 +375,3 @@
 def _is_bound(flow: _flow.Flow, packet: _packet.Packet) -> bool:
     standing = flow.standing
     return packet.token == standing.upstream.token and not standing.is_former
-
-
-def _record_change(change: _directory.EntryChange) -> _effect.Record:
-    standing = change.standing if change.former is None else change.former
-    upstream = change.standing.upstream
-    details = {
-        'service': upstream.service,
-        'zone': upstream.zone,
-        'address': f'{upstream.address[0]}:{upstream.address[1]}',
-        'flows': standing.flows,
-        'revision': upstream.revision,
-    }
-    if upstream.born is not None:
-        details['born'] = upstream.born
-    return _effect.Record(
-        'upstream', change.kind, upstream=upstream.name, details=details
-    )
--- /dev/null
+++ b/skylarkfold/affinity/_presence.py
@@ -0,0 +1,146 @@
+"""Which upstreams there are, and what becomes of their flows."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from skylarkfold.affinity import _directory
+from skylarkfold.affinity import _effect
+from skylarkfold.affinity import _ending
+from skylarkfold.affinity import _health
+from skylarkfold.affinity import _load
+from skylarkfold.affinity import _settings
+from skylarkfold.affinity import _standing
+from skylarkfold.affinity import _upstream
+
+_NEVER = float('-inf')
+
+
+class Presence:
+    """Keeps the directory at the entries of the services that there are.
+
+    :param settings: how long an entry may outlive its process.
+    :param directory: all upstreams.
+    :param health: told of entries that disappear.
+    :param ending: ends flows of upstreams that are gone.
+    :param peer_loads: summed up again after a change.
+    :ivar is_known: whether the entries were ever listed.
+    """
+
+    __slots__ = (
+        '_directory',
+        '_ending',
+        '_health',
+        '_peer_loads',
+        '_present',
+        '_present_at',
+        '_services',
+        '_settings',
+        'is_known',
+    )
+
+    def __init__(
+        self,
+        settings: _settings.AffinitySettings,
+        directory: _directory.Directory,
+        health: _health.HealthWatch,
+        ending: _ending.Ending,
+        peer_loads: _load.PeerLoads,
+    ) -> None:
+        self._settings = settings
+        self._directory = directory
+        self._health = health
+        self._ending = ending
+        self._peer_loads = peer_loads
+        self._services: frozenset[str] = frozenset()
+        self._present: tuple[_upstream.Upstream, ...] = ()
+        self._present_at = _NEVER
+        self.is_known = False
+
+    def set_services(
+        self, now: float, services: frozenset[str]
+    ) -> list[object]:
+        """Take which services there are.
+
+        An entry of another one names no upstream, and so takes neither
+        token nor address from those that do.
+
+        :param now: the time.
+        :param services: their names; empty where that is not said.
+        :returns: effects.
+        """
+        before, self._services = self._services, services
+        if services == before or not self.is_known:
+            return []
+        return self._apply(now)
+
+    def set_present(
+        self, now: float, present: Iterable[_upstream.Upstream]
+    ) -> list[object]:
+        """Take the list of all upstreams.
+
+        :param now: the time.
+        :param present: every upstream that has an entry.
+        :returns: effects.
+        """
+        self._present = tuple(present)
+        self.is_known = True
+        return self._apply(now)
+
+    def note_present(self, at: float) -> None:
+        """Note when the list was the newest.
+
+        :param at: when it was.
+        """
+        self._present_at = max(self._present_at, at)
+
+    def _apply(self, now: float) -> list[object]:
+        effects: list[object] = []
+        ended: dict[_standing.Standing, float] = {}
+        changes = self._directory.replace(now, self._list_served())
+        self._peer_loads.apply()
+        for change in changes:
+            effects.append(_record_change(change))
+            if change.kind == _directory.Change.LAPSED:
+                change.standing.present_at = self._present_at
+                effects += self._health.take_lapse(now, change.standing)
+            elif change.former is not None:
+                ended[change.former] = self._compute_end(change.former)
+        effects += self._ending.end_former(now, ended)
+        replaced = [each for each in self._directory if each.is_replaced]
+        return effects + self._ending.end_flows(now, replaced)
+
+    def _list_served(self) -> list[_upstream.Upstream]:
+        return [
+            each
+            for each in self._present
+            if not self._services or each.service in self._services
+        ]
+
+    def _compute_end(self, former: _standing.Standing) -> float:
+        """Tell when a start that has ended was there for certain.
+
+        A flow that is open since before then is of that start; a later one
+        may be of the next, which serves before its entry is known here.
+        """
+        present_at = self._present_at
+        if former.lapsed_at is not None:
+            present_at = former.present_at
+        return present_at - self._settings.entry_seconds
+
+
+def _record_change(change: _directory.EntryChange) -> _effect.Record:
+    standing = change.standing if change.former is None else change.former
+    upstream = change.standing.upstream
+    details = {
+        'service': upstream.service,
+        'zone': upstream.zone,
+        'address': f'{upstream.address[0]}:{upstream.address[1]}',
+        'flows': standing.flows,
+        'revision': upstream.revision,
+    }
+    if upstream.born is not None:
+        details['born'] = upstream.born
+    return _effect.Record(
+        'upstream', change.kind, upstream=upstream.name, details=details
+    )
--- /dev/null
+++ b/skylarkfold/affinity/_words.py
@@ -0,0 +1,114 @@
+"""What instances tell one another of upstreams."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from skylarkfold.affinity import _directory
+from skylarkfold.affinity import _health
+from skylarkfold.affinity import _load
+from skylarkfold.affinity import _settings
+from skylarkfold import upstream_load
+
+
+class PeerWords:
+    """Takes the words of peers, and says what is known here.
+
+    Upstreams are named by incarnation: a word of an earlier start that is
+    still under way is none of the present one.
+
+    :param settings: how long what was heard is worth telling.
+    :param directory: all upstreams.
+    :param health: told of what peers heard, or found out of reach.
+    :param peer_loads: keeps what they carry.
+    """
+
+    __slots__ = ('_directory', '_health', '_peer_loads', '_settings')
+
+    def __init__(
+        self,
+        settings: _settings.AffinitySettings,
+        directory: _directory.Directory,
+        health: _health.HealthWatch,
+        peer_loads: _load.PeerLoads,
+    ) -> None:
+        self._settings = settings
+        self._directory = directory
+        self._health = health
+        self._peer_loads = peer_loads
+
+    def take_load(
+        self,
+        now: float,
+        source: str,
+        loads: dict[int, upstream_load.UpstreamLoad],
+    ) -> None:
+        """Take what others carry.
+
+        :param now: the time.
+        :param source: who they are; a later word replaces an earlier one.
+        :param loads: by incarnation of their upstream.
+        """
+        self._peer_loads.take(now, source, loads)
+
+    def list_loads(self, now: float) -> dict[int, upstream_load.UpstreamLoad]:
+        """List what this instance carries, for its peers.
+
+        :param now: the time.
+        :returns: by incarnation of their upstream; requests on average
+            since this was last asked.
+        """
+        return {
+            standing.upstream.incarnation: upstream_load.UpstreamLoad(
+                standing.flows, standing.take_mean_busy(now)
+            )
+            for standing in self._directory
+            if standing.flows > 0
+        }
+
+    def list_heard(
+        self, now: float, incarnations: Iterable[int]
+    ) -> dict[int, float]:
+        """Answer a peer that doubts some upstreams.
+
+        :param now: the time.
+        :param incarnations: of the upstreams.
+        :returns: for those heard here, how many seconds ago, by
+            incarnation.
+        """
+        heard = {}
+        for incarnation in incarnations:
+            standing = self._directory.find_incarnation(incarnation)
+            if standing is None:
+                continue
+            age = now - standing.heard_at
+            if age <= self._settings.longest_wait_seconds:
+                heard[incarnation] = age
+        return heard
+
+    def take_heard(self, now: float, heard: dict[int, float]) -> None:
+        """Take what a peer has heard of upstreams in doubt.
+
+        :param now: the time.
+        :param heard: how many seconds ago, by incarnation.
+        """
+        for incarnation, age in heard.items():
+            standing = self._directory.find_incarnation(incarnation)
+            if standing is not None:
+                self._health.take_heard(now, standing, now - age)
+
+    def take_lost(
+        self, now: float, incarnations: Iterable[int]
+    ) -> list[object]:
+        """Take that a peer of this zone found upstreams out of reach.
+
+        :param now: the time.
+        :param incarnations: of the upstreams.
+        :returns: effects.
+        """
+        effects: list[object] = []
+        for incarnation in incarnations:
+            standing = self._directory.find_incarnation(incarnation)
+            if standing is not None:
+                effects += self._health.take_lost(now, standing)
+        return effects
