--- a/skylarkfold/_commands.py
+++ b/skylarkfold/_commands.py
@@ -217,14 +217,21 @@
         if _load('load').run(str(file), named, bool(combine), bool(json)):
             raise errors.PromiseError('a promise was not kept')
 
-    def report(self, before: str, after: str) -> None:
+    def report(self, before: str, after: str, sizes: bool = False) -> None:
         """Compare two result files, or two entries of the journal.
 
         :param before: the earlier results, of `make measure` or of the
             users' bench.
         :param after: the later ones, of the same sort.
+        :param sizes: tell how each figure grows from a run of a site with
+            few instances to one with many.
         """
         report = _load('report')
+        if sizes:
+            entries = map(report.read_entry, (str(before), str(after)))
+            growths = report.compare_sizes(*entries)
+            _load('table').print_results(growths, False)
+            return
         read, compare = report.read_results, report.compare
         if report.is_entry(str(before)):
             read, compare = report.read_entry, report.compare_entries
--- a/skylarkfold/report/__init__.py
+++ b/skylarkfold/report/__init__.py
@@ -12,13 +12,17 @@
 from skylarkfold.report._results import Results
 from skylarkfold.report._results import write_results
 from skylarkfold.report._run import run_measures
+from skylarkfold.report._sizes import compare_sizes
+from skylarkfold.report._sizes import Growth
 
 __all__ = [
     'Difference',
+    'Growth',
     'Measured',
     'Results',
     'compare',
     'compare_entries',
+    'compare_sizes',
     'format_capacity',
     'format_page',
     'is_entry',
--- a/skylarkfold/report/_journal.py
+++ b/skylarkfold/report/_journal.py
@@ -24,6 +24,10 @@
     :param parts: what the worth is made of: name, weight and share.
     :param prices: what is taken off: name, amount and worth.
     :param rules: how often rules were broken, by rule.
+    :param balancers: how many instances it has; 0 where that is not said.
+    :param by_class: the share that was served of each kind of request;
+        None for a kind that was not asked for.
+    :param by_zone: the same of each availability zone's callers.
     """
 
     name: str
@@ -32,6 +36,9 @@
     parts: list[tuple[str, float, float]] = []
     prices: list[tuple[str, float, float]] = []
     rules: dict[str, int] = {}
+    balancers: int = 0
+    by_class: list[float | None] = []
+    by_zone: list[float | None] = []
 
 
 class Entry(msgspec.Struct, frozen=True):
@@ -41,12 +48,22 @@
     :param head: the commit that was measured.
     :param score: of all days; None where it was not a whole score.
     :param days: the days.
+    :param id: its name in the journal.
+    :param ok: whether it ended as planned.
+    :param error: why it did not.
+    :param days_left_out: days that were given up.
+    :param why: what it was played for.
     """
 
     site: str | None
     head: str
     days: list[Day]
     score: float | None = None
+    id: str = ''
+    ok: bool = True
+    error: str | None = None
+    days_left_out: int = 0
+    why: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
