--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -19,6 +19,7 @@
 from skylarkfold.affinity import _route
 from skylarkfold.affinity import _settings
 from skylarkfold.affinity import _standing
+from skylarkfold.affinity import _suspects
 from skylarkfold.affinity import _tally
 from skylarkfold.affinity import _upstream
 from skylarkfold.affinity import _words
@@ -48,13 +49,11 @@
         self._flows = _flow.FlowTable(settings.flow_limit)
         self._ending = _ending.Ending(settings, self._flows, self.tally)
         self._admission = _admission.Admission(settings)
+        self._suspects = _suspects.Suspects(
+            zone, settings, self._directory, self._ending, self.tally
+        )
         self._health = _health.HealthWatch(
-            zone,
-            settings,
-            self._directory,
-            self._ending,
-            self._admission,
-            self.tally,
+            settings, self._suspects, self._admission, self.tally
         )
         self._peer_loads = _load.PeerLoads(settings, self._directory)
         self._opener = _opening.Opener(
@@ -69,7 +68,7 @@
             self._peer_loads,
         )
         words = _words.PeerWords(
-            settings, self._directory, self._health, self._peer_loads
+            settings, self._directory, self._suspects, self._peer_loads
         )
         self.take_load = words.take_load
         self.list_loads = words.list_loads
@@ -179,7 +178,7 @@
             that is known now.
         :returns: effects.
         """
-        return self._health.take_probe(now, name, outcome, incarnation)
+        return self._suspects.take_probe(now, name, outcome, incarnation)
 
     def tick(self, now: float) -> list[object]:
         """Do what is due.
@@ -289,7 +288,7 @@
             ended = self._ending.end_flow(now, flow, packet)
             if ended is not None:
                 return ended
-            self._health.recheck(standing)
+            self._suspects.recheck(standing)
         self._health.take_packet(now, flow, packet)
         if packet.is_last:
             flow.is_closed = True
--- a/skylarkfold/affinity/_words.py
+++ b/skylarkfold/affinity/_words.py
@@ -5,9 +5,9 @@
 from collections.abc import Iterable
 
 from skylarkfold.affinity import _directory
-from skylarkfold.affinity import _health
 from skylarkfold.affinity import _load
 from skylarkfold.affinity import _settings
+from skylarkfold.affinity import _suspects
 from skylarkfold import upstream_load
 
 
@@ -19,22 +19,22 @@
 
     :param settings: how long what was heard is worth telling.
     :param directory: all upstreams.
-    :param health: told of what peers heard, or found out of reach.
+    :param suspects: told of what peers heard, or found out of reach.
     :param peer_loads: keeps what they carry.
     """
 
-    __slots__ = ('_directory', '_health', '_peer_loads', '_settings')
+    __slots__ = ('_directory', '_peer_loads', '_settings', '_suspects')
 
     def __init__(
         self,
         settings: _settings.AffinitySettings,
         directory: _directory.Directory,
-        health: _health.HealthWatch,
+        suspects: _suspects.Suspects,
         peer_loads: _load.PeerLoads,
     ) -> None:
         self._settings = settings
         self._directory = directory
-        self._health = health
+        self._suspects = suspects
         self._peer_loads = peer_loads
 
     def take_load(
@@ -95,7 +95,7 @@
         for incarnation, age in heard.items():
             standing = self._directory.find_incarnation(incarnation)
             if standing is not None:
-                self._health.take_heard(now, standing, now - age)
+                self._suspects.take_heard(now, standing, now - age)
 
     def take_lost(
         self, now: float, incarnations: Iterable[int]
@@ -110,5 +110,5 @@
         for incarnation in incarnations:
             standing = self._directory.find_incarnation(incarnation)
             if standing is not None:
-                effects += self._health.take_lost(now, standing)
+                effects += self._suspects.take_lost(now, standing)
         return effects
