Soak: upstreams that start again under their names, and other writers

No promise is suspended while they last. The stand-in's upstream says `born` and which flows it holds; a reset is judged by the start that holds the flow where several have its name.

--- a/skylarkfold/soak/__main__.py
+++ b/skylarkfold/soak/__main__.py
@@ -23,6 +23,7 @@
     count: int = 0,
     seconds: float = 20.0,
     planned: bool = False,
+    restarts: bool = True,
     keep: str = '',
 ) -> None:
     """Run some seeds, one after the other.
@@ -32,6 +33,8 @@
     :param count: how many of that row.
     :param seconds: how long traffic lasts in each.
     :param planned: only planned work; nothing may fail then.
+    :param restarts: upstreams also start again under their names, and other
+        writers leave entries.
     :param keep: a folder for settings and logs; one that is thrown away
         where left out.
     """
@@ -43,7 +46,7 @@
     for seed in chosen:
         with tempfile.TemporaryDirectory() as scratch:
             folder = pathlib.Path(keep or scratch)
-            result = soak.run_seed(seed, folder, seconds, planned)
+            result = soak.run_seed(seed, folder, seconds, planned, restarts)
         word = 'broken' if result.broken else 'held'
         print(f'seed {seed}: {word}, {result.outcomes}', flush=True)
         if result.broken:
--- a/skylarkfold/soak/_plan.py
+++ b/skylarkfold/soak/_plan.py
@@ -34,6 +34,13 @@
     'remove-route',
     'storm',
 )
+# Drawn apart from the others, so that older seeds stay as they were. No
+# promise is suspended by them.
+RESTARTS = (
+    'upstream-restarted',
+    'upstream-restarted-late',
+    'entries-foreign',
+)
 
 
 class Step:
@@ -62,6 +69,26 @@
         )
 
 
+def draw_restarts(seed: int, seconds: float) -> list[Step]:
+    """Draw new starts of upstreams, and entries of other writers.
+
+    :param seed: the seed; the same one draws the same steps.
+    :param seconds: how long traffic lasts.
+    :returns: steps in order.
+    """
+    generator = random.Random(f'{seed}/restarts')
+    steps = [
+        Step(
+            generator.uniform(1.0, 0.6 * seconds),
+            generator.choice(RESTARTS),
+            generator.uniform(0.3, 3.0),
+            1.0,
+        )
+        for _ in range(generator.randint(2, 5))
+    ]
+    return sorted(steps, key=lambda step: step.at)
+
+
 def draw_plan(seed: int, seconds: float, planned_only: bool) -> list[Step]:
     """Draw a plan.
 
--- a/skylarkfold/soak/_run.py
+++ b/skylarkfold/soak/_run.py
@@ -25,6 +25,18 @@
 # platform allows 3 s.
 _KNOWN_SECONDS = 2.5
 _ASK_SECONDS = 0.3
+# An upstream that crashes is back after so long, before its entry lapses.
+_RESTART_SECONDS = 0.5
+# How often another writer changes what it left, and what is wrong with it.
+_BEAT_SECONDS = 0.3
+_FOREIGN: tuple[dict[str, object], ...] = (
+    {'state': 'paused'},
+    {'max_concurrency': 2**70},
+    {'address': '10.1:80'},
+    {'zone': '\ud800'},
+    {'born': 'now'},
+    {'service': ['desk']},
+)
 _VERSION = re.compile(r'^skylarkfold_version (\S+)$', re.MULTILINE)
 
 
@@ -57,6 +69,7 @@
     folder: pathlib.Path,
     seconds: float = 20.0,
     planned_only: bool = False,
+    has_restarts: bool = False,
 ) -> Result:
     """Run one seed.
 
@@ -65,9 +78,13 @@
     :param seconds: how long traffic lasts.
     :param planned_only: whether only planned work is done; every request
         must be answered then.
+    :param has_restarts: whether upstreams also start again under their
+        names, and other writers leave entries.
     :returns: what it showed.
     """
     plan = _plan.draw_plan(seed, seconds, planned_only)
+    if has_restarts:
+        plan += _plan.draw_restarts(seed, seconds)
     world = _world.World(folder, seed, _ZONES)
     director = _Director(world)
     try:
@@ -153,6 +170,11 @@
             'add-route': lambda step: self._route(True),
             'remove-route': lambda step: self._route(False),
             'storm': self._storm,
+            'upstream-restarted': lambda step: self._restart(step, 0.0),
+            'upstream-restarted-late': lambda step: self._restart(
+                step, step.seconds
+            ),
+            'entries-foreign': self._write_foreign,
         }
 
     def perform(self, step: _plan.Step) -> None:
@@ -261,6 +283,43 @@
             victim.end()
         self._world.loop.call_later(3.6, lambda: self._world.forget(victim))
 
+    def _restart(self, step: _plan.Step, unheard_seconds: float) -> None:
+        """Have one start again under its name, unheard of for a while."""
+        victim = self._choose_spare()
+        if victim is None:
+            return
+        victim.end()
+        world = self._world
+
+        def start() -> None:
+            upstream = world.restart_upstream(victim)
+            world.loop.call_later(
+                unheard_seconds, lambda: world.register(upstream)
+            )
+
+        world.loop.call_later(_RESTART_SECONDS, start)
+
+    def _write_foreign(self, step: _plan.Step) -> None:
+        """Have another writer leave entries that change all the time."""
+        store = self._world.store
+        entry = self._world.random.choice(self._world.upstreams).describe()
+        names = [f'x-{number:x}' for number in range(1, len(_FOREIGN) + 1)]
+        beats = range(int(step.seconds / _BEAT_SECONDS) + 1)
+
+        def write(beat: int) -> None:
+            for name, odd in zip(names, _FOREIGN, strict=True):
+                store.put('servers', name, {**entry, 'sequence': beat, **odd})
+
+        def clean() -> None:
+            for name in names:
+                store.delete('servers', name)
+
+        for beat in beats:
+            self._world.loop.call_later(
+                beat * _BEAT_SECONDS, functools.partial(write, beat)
+            )
+        self._world.loop.call_later(step.seconds + _BEAT_SECONDS, clean)
+
     def _reuse(self, step: _plan.Step) -> None:
         victim = self._choose_spare()
         if victim is None:
--- a/skylarkfold/soak/_world.py
+++ b/skylarkfold/soak/_world.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import socket
+import time
 
 from skylarkfold import reactor
 from skylarkfold.soak import _instance
@@ -152,13 +153,36 @@
             address,
             self._port,
         )
+        self._add(upstream)
+        self.register(upstream)
+        return upstream
+
+    def restart_upstream(self, former: packets.Upstream) -> packets.Upstream:
+        """Start one again that has ended, under its name and address.
+
+        It does not register itself.
+
+        :param former: the start before.
+        :returns: the upstream.
+        """
+        upstream = packets.Upstream(
+            self.loop,
+            former.name,
+            former.service,
+            former.zone,
+            former.address,
+            self._port,
+            born=int(time.time() * 1000),
+        )
+        self._add(upstream)
+        return upstream
+
+    def _add(self, upstream: packets.Upstream) -> None:
         upstream.ran = lambda _, request: self.judge.note_run(request)
         upstream.was_opened = lambda each: self.judge.note_open(
             each, self.loop.now()
         )
         self.upstreams.append(upstream)
-        self.register(upstream)
-        return upstream
 
     def register(self, upstream: packets.Upstream) -> None:
         """Write an upstream's entry."""
@@ -209,12 +233,22 @@
         """Make a request that no other one is."""
         return next(self._requests).to_bytes(8, 'big')
 
-    def find_upstream(self, token: int) -> packets.Upstream | None:
-        """Find the upstream that a flow's token names."""
-        for each in self.upstreams:
-            if int(each.name[2:], 16) & 0xFFFFFFFF == token:
-                return each
-        return None
+    def find_upstream(self, flow: packets.Flow) -> packets.Upstream | None:
+        """Find the start of an upstream that holds a flow.
+
+        :param flow: the flow.
+        :returns: it; None where no start that holds it is left.
+        """
+        found = [
+            each
+            for each in self.upstreams
+            if int(each.name[2:], 16) & 0xFFFFFFFF == flow.upstream_echo
+        ]
+        if len(found) > 1:
+            found = [
+                each for each in found if each.holds(flow.source, flow.address)
+            ]
+        return found[-1] if found else None
 
     def finish(self) -> None:
         """Begin no more requests; stop once those that wait have ended."""
@@ -328,7 +362,7 @@
     def _take(self, flow, exchange, retries: int) -> None:
         world = self._world
         if flow.resets and flow.resets[-1] and flow.is_open:
-            upstream = world.find_upstream(flow.upstream_echo)
+            upstream = world.find_upstream(flow)
             if upstream is not None:
                 world.judge.note_reset(world.loop.now(), upstream)
         may_retry = self._may_repeat or not exchange.is_opened
--- a/skylarkfold/standin/packets/__init__.py
+++ b/skylarkfold/standin/packets/__init__.py
@@ -9,6 +9,7 @@
 from skylarkfold.standin.packets._caller import ANSWERED
 from skylarkfold.standin.packets._caller import Caller
 from skylarkfold.standin.packets._caller import Exchange
+from skylarkfold.standin.packets._caller import Flow
 from skylarkfold.standin.packets._fabric import Fabric
 from skylarkfold.standin.packets._objects import ObjectStore
 from skylarkfold.standin.packets._relay import FaultyRelay
@@ -24,6 +25,7 @@
     'Exchange',
     'Fabric',
     'FaultyRelay',
+    'Flow',
     'ObjectStore',
     'StoreServer',
     'Upstream',
--- a/skylarkfold/standin/packets/_upstream.py
+++ b/skylarkfold/standin/packets/_upstream.py
@@ -37,6 +37,8 @@
     :param zone: its availability zone.
     :param address: where it takes packets and probes.
     :param caller_port: where callers take packets.
+    :param born: the Unix millisecond of its start; None where it does not
+        say so.
     :ivar runs: the requests that it ran, in order.
     :ivar forged: packets whose sum is wrong.
     :ivar work_seconds: how long a request takes.
@@ -52,9 +54,11 @@
         zone: str,
         address: tuple[str, int],
         caller_port: int,
+        born: int | None = None,
     ) -> None:
         self.loop = loop
         self.name = name
+        self.born = born
         self.service = service
         self.zone = zone
         self.address = address
@@ -76,7 +80,7 @@
 
     def describe(self) -> dict[str, object]:
         """Write its entry in the store."""
-        return {
+        entry = {
             'service': self.service,
             'address': f'{self.address[0]}:{self.address[1]}',
             'zone': self.zone,
@@ -86,6 +90,14 @@
             'warmup_left_ms': 0,
             'sequence': 1,
         }
+        if self.born is not None:
+            entry['born'] = self.born
+        return entry
+
+    def holds(self, caller: tuple[str, int], address: tuple[str, int]) -> bool:
+        """Tell whether it holds an open flow, or did when it ended."""
+        flow = self._flows.get((caller, address))
+        return flow is not None and flow.is_open
 
     def end(self) -> None:
         """End at once; flows are lost."""
--- a/skylarkfold/tests/soak/test_soak.py
+++ b/skylarkfold/tests/soak/test_soak.py
@@ -14,10 +14,16 @@
 
 
 class SoakTest(testtools.TestCase):
-    def run_seed(self, seed, planned_only=False, seconds=SECONDS):
+    def run_seed(
+        self, seed, planned_only=False, seconds=SECONDS, has_restarts=False
+    ):
         with tempfile.TemporaryDirectory() as scratch:
             result = soak.run_seed(
-                seed, pathlib.Path(scratch), seconds, planned_only
+                seed,
+                pathlib.Path(scratch),
+                seconds,
+                planned_only,
+                has_restarts,
             )
         self.assertEqual([], result.broken, f'{result.plan}')
         self.assertGreater(result.outcomes['answered'], 0)
@@ -28,6 +34,9 @@
     def test_faults_break_no_promise(self):
         self.run_seed(11)
 
+    def test_new_starts_and_foreign_entries_break_no_promise(self):
+        self.run_seed(3, has_restarts=True)
+
     def test_silent_connections_to_the_store_hide_no_change(self):
         # Failed while a watch could wait for a silent connection for ever:
         # the last configuration was in force nowhere.
@@ -46,3 +55,9 @@
             for step in soak.draw_plan(seed, 20.0, False)
         }
         self.assertEqual({*_plan.PLANNED, *_plan.UNPLANNED}, drawn)
+        drawn = {
+            step.kind
+            for seed in range(20)
+            for step in _plan.draw_restarts(seed, 20.0)
+        }
+        self.assertEqual({*_plan.RESTARTS}, drawn)
