Soak: a reset is judged when it comes; new starts come unnoticed

Resets of idle flows were never judged, and half a second without an upstream was long enough to be doubted and avoided.

Change: callers tell of a reset when it comes, idle flows included; an upstream is back after 0.03 s; a case of three late new starts is a test.

--- a/skylarkfold/soak/_plan.py
+++ b/skylarkfold/soak/_plan.py
@@ -81,7 +81,7 @@
         Step(
             generator.uniform(1.0, 0.6 * seconds),
             generator.choice(RESTARTS),
-            generator.uniform(0.3, 3.0),
+            generator.uniform(0.5, 3.0),
             1.0,
         )
         for _ in range(generator.randint(2, 5))
--- a/skylarkfold/soak/_run.py
+++ b/skylarkfold/soak/_run.py
@@ -25,8 +25,8 @@
 # platform allows 3 s.
 _KNOWN_SECONDS = 2.5
 _ASK_SECONDS = 0.3
-# An upstream that crashes is back after so long, before its entry lapses.
-_RESTART_SECONDS = 0.5
+# One that is started again at once is back before anyone doubts it.
+_RESTART_SECONDS = 0.03
 # How often another writer changes what it left, and what is wrong with it.
 _BEAT_SECONDS = 0.3
 _FOREIGN: tuple[dict[str, object], ...] = (
@@ -85,6 +85,25 @@
     plan = _plan.draw_plan(seed, seconds, planned_only)
     if has_restarts:
         plan += _plan.draw_restarts(seed, seconds)
+    return run_plan(plan, seed, folder, seconds, planned_only)
+
+
+def run_plan(
+    plan: list[_plan.Step],
+    seed: int,
+    folder: pathlib.Path,
+    seconds: float,
+    planned_only: bool = False,
+) -> Result:
+    """Run a plan.
+
+    :param plan: its steps.
+    :param seed: draws who is hit by each.
+    :param folder: where settings and logs lie.
+    :param seconds: how long traffic lasts.
+    :param planned_only: whether every request must be answered.
+    :returns: what it showed.
+    """
     world = _world.World(folder, seed, _ZONES)
     director = _Director(world)
     try:
--- a/skylarkfold/soak/_world.py
+++ b/skylarkfold/soak/_world.py
@@ -345,6 +345,7 @@
             if self._flow is not None:
                 self._flow.finish()
             self._flow = self._caller.open(self._address)
+            self._flow.was_reset = self._note_reset
             self._left = world.random.randint(1, _FLOW_REQUESTS)
         self._left -= 1
         request = world.name_request()
@@ -359,12 +360,14 @@
             lambda exchange: self._take(flow, exchange, retries),
         )
 
+    def _note_reset(self, flow: packets.Flow) -> None:
+        world = self._world
+        upstream = world.find_upstream(flow)
+        if upstream is not None:
+            world.judge.note_reset(world.loop.now(), upstream)
+
     def _take(self, flow, exchange, retries: int) -> None:
         world = self._world
-        if flow.resets and flow.resets[-1] and flow.is_open:
-            upstream = world.find_upstream(flow)
-            if upstream is not None:
-                world.judge.note_reset(world.loop.now(), upstream)
         may_retry = self._may_repeat or not exchange.is_opened
         if exchange.outcome != packets.ANSWERED and retries and may_retry:
             world.judge.note_retry(exchange)
--- a/skylarkfold/standin/packets/_caller.py
+++ b/skylarkfold/standin/packets/_caller.py
@@ -117,7 +117,8 @@
     :param caller: whose it is.
     :param port: the caller's port.
     :param address: the service's address.
-    :ivar resets: how many resets it got.
+    :ivar resets: for each reset that it got, whether an instance sent it.
+    :ivar was_reset: told when an instance ends it while it is open.
     """
 
     def __init__(
@@ -126,6 +127,7 @@
         self.source = (caller.host, port)
         self.address = address
         self.resets: list[bool] = []
+        self.was_reset: Callable[[Flow], object] = _ignore
         self.is_open = False
         self.is_over = False
         self.upstream_echo = 0
@@ -248,6 +250,8 @@
             return
         is_ours = segment.sum == 0
         self.resets.append(is_ours)
+        if self.resets[-1] and self.is_open:
+            self.was_reset(self)
         self._abort(RESET)
 
     def _abort(self, outcome: str) -> None:
--- a/skylarkfold/tests/soak/test_soak.py
+++ b/skylarkfold/tests/soak/test_soak.py
@@ -11,6 +11,8 @@
 SECONDS = 8.0
 # Long enough that the last configuration must be in force everywhere.
 LONG_SECONDS = 20.0
+# Long enough for three new starts, each unheard of for 2.5 s.
+LATE_SECONDS = 12.0
 
 
 class SoakTest(testtools.TestCase):
@@ -37,6 +39,19 @@
     def test_new_starts_and_foreign_entries_break_no_promise(self):
         self.run_seed(3, has_restarts=True)
 
+    def test_new_starts_that_are_heard_of_late_lose_no_flow(self):
+        # Fails where all flows that are older than the new entry are ended
+        # (no `entry_seconds`): those opened since the start are reset.
+        plan = [
+            _plan.Step(2.0 + 2.5 * number, 'upstream-restarted-late', 2.5, 1.0)
+            for number in range(3)
+        ]
+        with tempfile.TemporaryDirectory() as scratch:
+            folder = pathlib.Path(scratch)
+            result = soak.run_plan(plan, 1, folder, LATE_SECONDS)
+        self.assertEqual([], result.broken)
+        self.assertGreater(result.outcomes['answered'], 0)
+
     def test_silent_connections_to_the_store_hide_no_change(self):
         # Failed while a watch could wait for a silent connection for ever:
         # the last configuration was in force nowhere.
