--- a/skylarkfold/requests/_keys.py
+++ b/skylarkfold/requests/_keys.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import collections
 import functools
 from typing import Protocol
 
@@ -16,6 +15,7 @@
 from skylarkfold.requests import _answers
 from skylarkfold.requests import _claimant
 from skylarkfold.requests import _context
+from skylarkfold.requests import _handing
 from skylarkfold.requests import _holders
 from skylarkfold.requests import _memory
 from skylarkfold.requests import _messages
@@ -69,7 +69,7 @@
         self._passes = passes
         self._memory = _memory.KeyMemory(context.settings)
         self._by_number: dict[int, _record.KeyRecord] = {}
-        self._unhanded: collections.deque[_record.KeyRecord] | None = None
+        self._handing = _handing.Handing(context, claimant, self._memory)
 
     def __len__(self) -> int:
         return len(self._memory)
@@ -82,9 +82,7 @@
     @property
     def is_handed_on(self) -> bool:
         """Tell whether all finished keys were handed on."""
-        return not (
-            len(self._memory) if self._unhanded is None else self._unhanded
-        )
+        return self._handing.is_over
 
     def receive(
         self,
@@ -177,8 +175,7 @@
             self._memory.drop(record)
         else:
             self._memory.end(now, record, answer)
-            if self._unhanded is not None:
-                self._unhanded.append(record)
+            self._handing.note_ended(record)
         self._answer(record, answer)
         return True
 
@@ -232,30 +229,7 @@
         :param successor: the instance.
         :param limit: how many at most.
         """
-        if self._unhanded is None:
-            self._unhanded = collections.deque(self._memory.list_ended())
-        for _ in range(min(limit, len(self._unhanded))):
-            self._hand_on(self._unhanded.popleft(), successor)
-
-    def _hand_on(
-        self, record: _record.KeyRecord, successor: _holders.Holder
-    ) -> None:
-        answer = record.answer
-        if answer is None:
-            return
-        sent = _messages.HandOnMessage(
-            target_boot=successor.boot,
-            key=record.key,
-            fingerprint=record.fingerprint,
-            claim=record.claim_number,
-            verdict=answer.verdict,
-            answer_status=answer.status,
-            headers=answer.headers,
-            body=answer.body,
-            code=answer.code,
-        )
-        self._context.send(successor.name, sent)
-        self._claimant.release(record.key, record.claim_number, successor)
+        self._handing.hand_on(successor, limit)
 
     def take_over(self, now: float, handed: _messages.HandOnMessage) -> None:
         """Answer for a finished key from now on.
@@ -263,20 +237,7 @@
         :param now: the time.
         :param handed: the key's record.
         """
-        if handed.target_boot != self._context.boot or self._memory.is_full:
-            return
-        if self._memory.find(handed.key) is not None:
-            return
-        record = _record.KeyRecord(handed.key, handed.fingerprint, None)
-        record.claim_number = handed.claim
-        answer = request_module.Answer(
-            verdict=handed.verdict,
-            status=handed.answer_status,
-            headers=handed.headers,
-            body=handed.body,
-            code=handed.code,
-        )
-        self._memory.end(now, record, answer)
+        self._handing.take_over(now, handed)
 
     def _join(
         self,
