--- a/skylarkfold/measure/_ablation_journal.py
+++ b/skylarkfold/measure/_ablation_journal.py
@@ -6,6 +6,8 @@
 import pathlib
 import re
 
+import msgspec
+
 from skylarkfold import errors
 from skylarkfold.measure import _mechanism
 from skylarkfold import report
@@ -14,6 +16,12 @@
 _WHY = re.compile(r'ablation (?P<name>\S+) seed (?P<seed>\d+) (?P<day>\S+)')
 
 
+class _Purpose(msgspec.Struct, frozen=True):
+    """The part of an entry that says what it was played for."""
+
+    why: str = ''
+
+
 class Run:
     """One day that was played without a mechanism, or with all.
 
@@ -43,11 +51,11 @@
     """
     runs = []
     for path in sorted(pathlib.Path(folder).glob('*.json')):
-        if not report.is_entry(path):
+        found = _WHY.fullmatch(_read_why(path))
+        if found is None:
             continue
         entry = report.read_entry(path)
-        found = _WHY.fullmatch(entry.why)
-        if found is None or entry.error or not entry.ok or not entry.days:
+        if entry.error or not entry.ok or not entry.days:
             continue
         name = found['name']
         if name not in (*_mechanism.MECHANISMS, _mechanism.WITH_ALL):
@@ -58,6 +66,15 @@
     return runs
 
 
+def _read_why(path: pathlib.Path) -> str:
+    """Read what an entry was played for; empty where it does not say."""
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=_Purpose).why
+    except msgspec.MsgspecError:
+        # No entry; other runs may have failed before there was a day.
+        return ''
+
+
 def list_worths(
     runs: Iterable[Run], day: str, name: str = _mechanism.WITH_ALL
 ) -> dict[int, float]:
--- a/skylarkfold/tests/measure/test_ablation.py
+++ b/skylarkfold/tests/measure/test_ablation.py
@@ -63,6 +63,8 @@
         self.write_run(5, 'ablation refusal seed 2 burst', 0.75)
         self.write_run(6, 'ablation refusal seed 3 burst', 0.9, error='cut')
         self.write_run(7, 'a score', 0.2)
+        self.write_run(8, 'a day that never began', None)
+        (self.folder / '9.json').write_text('no entry')
         (found,) = ablation.measure(journal=str(self.folder))
         self.assertEqual(
             ('refusal', 'burst'), (found.mechanism, found.pattern)
