Soak: the upstream of a token is found as before, the holder of a flow apart

Cause: tests of processes ask the world for the upstream of a token; the judge's question, which start holds a flow, had taken that name.

Change: `find_upstream(token)` is what it was, `find_holder(flow)` is new.

--- a/skylarkfold/soak/_world.py
+++ b/skylarkfold/soak/_world.py
@@ -233,22 +233,31 @@
         """Make a request that no other one is."""
         return next(self._requests).to_bytes(8, 'big')
 
-    def find_upstream(self, flow: packets.Flow) -> packets.Upstream | None:
+    def find_upstream(self, token: int) -> packets.Upstream | None:
+        """Find the first start of the upstream that a flow's token names."""
+        found = self._list_starts(token)
+        return found[0] if found else None
+
+    def find_holder(self, flow: packets.Flow) -> packets.Upstream | None:
         """Find the start of an upstream that holds a flow.
 
         :param flow: the flow.
-        :returns: it; None where no start that holds it is left.
+        :returns: it; None where several have its name and none holds it.
         """
-        found = [
+        found = self._list_starts(flow.upstream_echo)
+        if len(found) == 1:
+            return found[0]
+        for each in found:
+            if each.holds(flow.source, flow.address):
+                return each
+        return None
+
+    def _list_starts(self, token: int) -> list[packets.Upstream]:
+        return [
             each
             for each in self.upstreams
-            if int(each.name[2:], 16) & 0xFFFFFFFF == flow.upstream_echo
+            if int(each.name[2:], 16) & 0xFFFFFFFF == token
         ]
-        if len(found) > 1:
-            found = [
-                each for each in found if each.holds(flow.source, flow.address)
-            ]
-        return found[-1] if found else None
 
     def finish(self) -> None:
         """Begin no more requests; stop once those that wait have ended."""
@@ -362,7 +371,7 @@
 
     def _note_reset(self, flow: packets.Flow) -> None:
         world = self._world
-        upstream = world.find_upstream(flow)
+        upstream = world.find_holder(flow)
         if upstream is not None:
             world.judge.note_reset(world.loop.now(), upstream)
 
