Tests: a pause of the machine sheds none of the repeated runs

After a pause the caller sends at once what it has missed; the stand-in's queue of 4 shed one of the two runs.

Change: the upstream of this test queues everything, so that the equality it asserts depends on no time. What is asserted stays.

--- a/skylarkfold/tests/load/test_caller.py
+++ b/skylarkfold/tests/load/test_caller.py
@@ -63,7 +63,9 @@
 
     @_servers.run_test
     async def test_a_balancer_that_repeats_runs_duplicates(self):
-        promises = await _run([SETTINGS], repeats=2)
+        # After a pause of the machine the caller sends at once what it
+        # has missed: an upstream that shed any of it would run it once.
+        promises = await _run([SETTINGS], repeats=2, queue_limit=1000)
         self.assertEqual(promises.requests, promises.duplicate_runs)
 
     @_servers.run_test
