Store: a page of unreadable objects is not the end of a listing

Cause: read in the diff: where no object of a truncated page can be read, the listing counted as whole, and all upstreams of later pages as deleted.

Change: such a page is no answer; the listing is tried again and what was known holds.

--- a/skylarkfold/platform/_store.py
+++ b/skylarkfold/platform/_store.py
@@ -184,6 +184,10 @@
             return relay.Answer(relay.Status.OK, items, revision)
         items = self._read_all(fields.get_list('items'), _read_object)
         is_truncated = fields.is_set('truncated')
+        if is_truncated and not items:
+            # Where the next page begins is not known; as it stands, all
+            # that it holds would pass for deleted.
+            raise errors.DecodeError('a page without an object')
         return relay.Answer(relay.Status.OK, items, revision, is_truncated)
 
     def _read_all(
--- a/skylarkfold/tests/platform/test_foreign.py
+++ b/skylarkfold/tests/platform/test_foreign.py
@@ -269,6 +269,13 @@
             self.assertEqual(relay.Status.OK, answer.status, each)
             self.assertEqual([GOOD], [item.path for item in answer.items])
 
+    def test_a_page_of_unreadable_objects_is_not_the_end_of_a_listing(self):
+        body = {'items': [None, {}], 'truncated': True, 'current_rev': 9}
+        answer = self.decode(json.dumps(body).encode())
+        self.assertEqual(relay.Status.UNKNOWN, answer.status)
+        answer = self.list_page(None, {})
+        self.assertEqual(relay.Status.OK, answer.status)
+
     def test_one_unreadable_event_does_not_hide_the_others(self):
         events = [
             {'object': None, 'deleted': False},
