Directory: what has not changed is not compared, addresses are not sorted

Cause: read in the diff: since entries are told apart by start, each change of one entry compared all of them and sorted them twice, by age and by revision.

Change: an entry that is the same object as before is passed over; who has an address is found in two passes instead of a sort. Behaviour is the same: of several at one address all but the last are replaced once they have lapsed.

--- a/skylarkfold/affinity/_directory.py
+++ b/skylarkfold/affinity/_directory.py
@@ -159,11 +159,12 @@
         standing = self._by_name.get(upstream.name)
         if standing is None:
             return self._add(now, upstream, Change.ADDED)
+        if upstream is standing.upstream and standing.lapsed_at is None:
+            # As almost all are with each change of one.
+            return None
         if not upstream.is_same_start(standing.upstream):
             standing.is_former = True
-            change = self._add(now, upstream, Change.RESTARTED)
-            change.former = standing
-            return change
+            return self._add(now, upstream, Change.RESTARTED, standing)
         before, standing.upstream = standing.upstream, upstream
         if standing.lapsed_at is not None:
             standing.lapsed_at = None
@@ -173,11 +174,15 @@
         return None
 
     def _add(
-        self, now: float, upstream: _upstream.Upstream, kind: str
+        self,
+        now: float,
+        upstream: _upstream.Upstream,
+        kind: str,
+        former: _standing.Standing | None = None,
     ) -> EntryChange:
         standing = _standing.Standing(upstream, now)
         self._by_name[upstream.name] = standing
-        return EntryChange(kind, standing)
+        return EntryChange(kind, standing, former)
 
     def _index(self) -> None:
         self._by_token = {}
@@ -200,13 +205,18 @@
         created: an upstream that starts again at an address that it was
         given keeps the entry of its name.
         """
-        last: dict[tuple[str, int], _standing.Standing] = {}
-        for standing in sorted(self._by_name.values(), key=_get_revision):
-            standing.is_replaced = False
-            before = last.get(standing.upstream.address)
-            if before is not None:
-                before.is_replaced = before.lapsed_at is not None
-            last[standing.upstream.address] = standing
+        holders: dict[tuple[str, int], _standing.Standing] = {}
+        for standing in self._by_name.values():
+            address = standing.upstream.address
+            holder = holders.setdefault(address, standing)
+            if holder is standing:
+                continue
+            if _get_revision(standing) > _get_revision(holder):
+                holders[address] = standing
+        for standing in self._by_name.values():
+            has_address = holders[standing.upstream.address] is standing
+            is_lapsed = standing.lapsed_at is not None
+            standing.is_replaced = is_lapsed and not has_address
 
 
 def _get_age(standing: _standing.Standing) -> tuple[int, str]:
