Evacuations: no new flow to a zone that its operators empty

Cause: the product knew no evacuations.

Change: a third topic in the adapter, read into a typed set of zones with the store's revision of each. An instance is ready once it knows them, where its settings name a bound for them. No first packet goes to an upstream of such a zone: choice, second try, copies, upstreams whose entry has lapsed. Open flows stay. A copy that every upstream has had goes once more to one that may still have it, not to the last one, which may leave or be evacuated; where there is none, its caller is told at once. A value that is no map, or a name that is no zone, evacuates nothing and is counted and said once: the operator always writes a map, and a stray entry must not take a third of the upstreams away. The settings template passes on zones and bound. Lines: a begin and an end with revision, upstreams and open flows; each change says within what time it was learnt. What puts objects in force is a module of its own.

--- a/skylarkfold/affinity/__init__.py
+++ b/skylarkfold/affinity/__init__.py
@@ -18,6 +18,7 @@
 from skylarkfold.affinity._effect import Record
 from skylarkfold.affinity._effect import Reset
 from skylarkfold.affinity._effect import TellPeers
+from skylarkfold.affinity._evacuation import Evacuations
 from skylarkfold.affinity._packet import format_flow
 from skylarkfold.affinity._packet import pack_address
 from skylarkfold.affinity._packet import Packet
@@ -31,6 +32,7 @@
     'AffinitySettings',
     'AskPeers',
     'Drop',
+    'Evacuations',
     'Forward',
     'Packet',
     'Probe',
--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -8,6 +8,7 @@
 from skylarkfold.affinity import _directory
 from skylarkfold.affinity import _effect
 from skylarkfold.affinity import _ending
+from skylarkfold.affinity import _evacuation
 from skylarkfold.affinity import _flow
 from skylarkfold.affinity import _health
 from skylarkfold.affinity import _held
@@ -82,7 +83,7 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether routes and upstreams are known."""
+        """Whether all that a new flow needs is known."""
         return self._presence.is_known and self._routes.version >= 0
 
     @property
@@ -127,6 +128,18 @@
         effects = self._presence.set_present(now, present)
         return effects + self._release(now)
 
+    def set_evacuations(
+        self, now: float, evacuations: _evacuation.Evacuations
+    ) -> list[object]:
+        """Take which availability zones are evacuated.
+
+        :param now: the time in seconds.
+        :param evacuations: all of them.
+        :returns: effects.
+        """
+        effects = self._presence.set_evacuations(now, evacuations)
+        return effects + self._release(now)
+
     def note_confirmed(self, now: float) -> None:
         """Note that the routes were the newest a moment ago.
 
--- a/skylarkfold/affinity/_opening.py
+++ b/skylarkfold/affinity/_opening.py
@@ -132,14 +132,34 @@
         :returns: effects.
         """
         effects = self._health.doubt_opening(now, flow)
-        standing = self._choose_again(now, flow, routes)
-        if standing is None:
-            # Every upstream has had it: the last one once more.
-            last = flow.standing.upstream
-            return [*effects, _effect.Forward(last, packet.data)]
-        return effects + self.send(
-            now, flow, standing, Reason.REPEATED, routes.version
-        )
+        standing = self._choose_again(now, flow, routes, flow.tried)
+        if standing is not None:
+            return effects + self.send(
+                now, flow, standing, Reason.REPEATED, routes.version
+            )
+        # Every upstream has had it: one that may still have it once more,
+        # which one that leaves or is evacuated by now may not.
+        again = self._choose_again(now, flow, routes, ())
+        if again is None:
+            return [*effects, *self._refuse(now, flow, packet, routes)]
+        return [*effects, _effect.Forward(again.upstream, packet.data)]
+
+    def _refuse(
+        self,
+        now: float,
+        flow: _flow.Flow,
+        packet: _packet.Packet,
+        routes: _route.RouteTable,
+    ) -> list[object]:
+        _flow.end_work(flow, now)
+        self._tally.count(_tally.RESET, Reason.NO_UPSTREAM)
+        details = {'version': routes.version, 'try': len(flow.tried)}
+        return [
+            _effect.Record(
+                'reset', Reason.NO_UPSTREAM, flow.key, details=details
+            ),
+            _effect.Reset(flow.key, packet.acknowledged),
+        ]
 
     def repeat(self, now: float, routes: _route.RouteTable) -> list[object]:
         """Send what was not answered in time to another upstream.
@@ -157,7 +177,7 @@
             if len(flow.tried) >= self._settings.open_tries:
                 _flow.end_work(flow, now)
                 continue
-            standing = self._choose_again(now, flow, routes)
+            standing = self._choose_again(now, flow, routes, flow.tried)
             if standing is not None:
                 effects += self.send(
                     now, flow, standing, Reason.PLACED_AGAIN, routes.version
@@ -165,11 +185,15 @@
         return effects
 
     def _choose_again(
-        self, now: float, flow: _flow.Flow, routes: _route.RouteTable
+        self,
+        now: float,
+        flow: _flow.Flow,
+        routes: _route.RouteTable,
+        tried: tuple[str, ...],
     ) -> _standing.Standing | None:
         route = routes.get(_packet.get_address(flow.key))
         if route is None:
             return None
         hashed = _placement.hash_flow(flow.key)
         service = route.choose_service(hashed)
-        return self.choose(now, service, hashed, flow.tried)
+        return self.choose(now, service, hashed, tried)
--- a/skylarkfold/affinity/_placement.py
+++ b/skylarkfold/affinity/_placement.py
@@ -64,6 +64,8 @@
     standing: _standing.Standing,
     settings: _settings.AffinitySettings,
 ) -> int | None:
+    if standing.is_evacuated:
+        return None
     if standing.is_replaced or not standing.has_token:
         return None
     if not standing.takes_new_flows:
--- a/skylarkfold/affinity/_presence.py
+++ b/skylarkfold/affinity/_presence.py
@@ -7,6 +7,7 @@
 from skylarkfold.affinity import _directory
 from skylarkfold.affinity import _effect
 from skylarkfold.affinity import _ending
+from skylarkfold.affinity import _evacuation
 from skylarkfold.affinity import _health
 from skylarkfold.affinity import _load
 from skylarkfold.affinity import _settings
@@ -24,19 +25,19 @@
     :param health: told of entries that disappear.
     :param ending: ends flows of upstreams that are gone.
     :param peer_loads: summed up again after a change.
-    :ivar is_known: whether the entries were ever listed.
     """
 
     __slots__ = (
         '_directory',
         '_ending',
+        '_evacuations',
         '_health',
+        '_is_listed',
         '_peer_loads',
         '_present',
         '_present_at',
         '_services',
         '_settings',
-        'is_known',
     )
 
     def __init__(
@@ -55,7 +56,15 @@
         self._services: frozenset[str] = frozenset()
         self._present: tuple[_upstream.Upstream, ...] = ()
         self._present_at = _NEVER
-        self.is_known = False
+        self._is_listed = False
+        self._evacuations: _evacuation.Evacuations | None = None
+        if not settings.follows_evacuations:
+            self._evacuations = _evacuation.NONE
+
+    @property
+    def is_known(self) -> bool:
+        """Whether entries and evacuations were ever listed."""
+        return self._is_listed and self._evacuations is not None
 
     def set_services(
         self, now: float, services: frozenset[str]
@@ -70,7 +79,7 @@
         :returns: effects.
         """
         before, self._services = self._services, services
-        if services == before or not self.is_known:
+        if services == before or not self._is_listed:
             return []
         return self._apply(now)
 
@@ -84,9 +93,32 @@
         :returns: effects.
         """
         self._present = tuple(present)
-        self.is_known = True
+        self._is_listed = True
         return self._apply(now)
 
+    def set_evacuations(
+        self, now: float, evacuations: _evacuation.Evacuations
+    ) -> list[object]:
+        """Take which availability zones are evacuated.
+
+        Open flows stay where they are until they end.
+
+        :param now: the time.
+        :param evacuations: all of them.
+        :returns: effects.
+        """
+        before = self._evacuations or _evacuation.NONE
+        self._evacuations = evacuations
+        self._mark_evacuated()
+        effects: list[object] = []
+        for zone in sorted(set(evacuations) - set(before)):
+            revision = evacuations.get_revision(zone)
+            effects.append(self._record_evacuation('started', zone, revision))
+        for zone in sorted(set(before) - set(evacuations)):
+            revision = before.get_revision(zone)
+            effects.append(self._record_evacuation('ended', zone, revision))
+        return effects
+
     def note_present(self, at: float) -> None:
         """Note when the list was the newest.
 
@@ -98,6 +130,7 @@
         effects: list[object] = []
         ended: dict[_standing.Standing, float] = {}
         changes = self._directory.replace(now, self._list_served())
+        self._mark_evacuated()
         self._peer_loads.apply()
         for change in changes:
             effects.append(_record_change(change))
@@ -117,6 +150,23 @@
             if not self._services or each.service in self._services
         ]
 
+    def _mark_evacuated(self) -> None:
+        evacuations = self._evacuations or _evacuation.NONE
+        for standing in self._directory:
+            standing.is_evacuated = standing.upstream.zone in evacuations
+
+    def _record_evacuation(
+        self, reason: str, zone: str, revision: int
+    ) -> _effect.Record:
+        here = [each for each in self._directory if each.upstream.zone == zone]
+        details = {
+            'zone': zone,
+            'revision': revision,
+            'upstreams': len(here),
+            'flows': sum(each.flows for each in here),
+        }
+        return _effect.Record('evacuation', reason, details=details)
+
     def _compute_end(self, former: _standing.Standing) -> float:
         """Tell when a start that has ended was there for certain.
 
--- a/skylarkfold/affinity/_settings.py
+++ b/skylarkfold/affinity/_settings.py
@@ -73,6 +73,8 @@
     :param haste_weight: how much more an upstream seems to carry, as a
         share, whose answers all come too soon, as failures do. 2 to 20 earn
         the same within 0.002.
+    :param follows_evacuations: whether availability zones may be evacuated
+        here; an instance is then not ready before it knows which are.
     :param near_tolerance: an upstream in this zone is preferred until its
         load is above the mean by this share. In the model, with one of
         three zones calling six times as often, 0.05 to 0.2 earn the same
@@ -88,6 +90,7 @@
         'entry_seconds',
         'flow_limit',
         'flow_seconds',
+        'follows_evacuations',
         'full_seconds',
         'haste_weight',
         'lapsed_seconds',
@@ -138,6 +141,7 @@
         length_weight: float = 4.0,
         haste_weight: float = 8.0,
         near_tolerance: float = 0.1,
+        follows_evacuations: bool = False,
     ) -> None:
         self.open_patience_seconds = open_patience_seconds
         self.open_tries = open_tries
@@ -166,3 +170,4 @@
         self.length_weight = length_weight
         self.haste_weight = haste_weight
         self.near_tolerance = near_tolerance
+        self.follows_evacuations = follows_evacuations
--- a/skylarkfold/affinity/_standing.py
+++ b/skylarkfold/affinity/_standing.py
@@ -41,6 +41,7 @@
     :ivar is_replaced: whether another process has its address.
     :ivar is_former: whether its process has started again: what is known
         here is of the start before, and another standing has its place.
+    :ivar is_evacuated: whether its availability zone takes no new flow.
     :ivar has_token: whether no older upstream has the same token.
     :ivar health: one of :class:`Health`.
     :ivar failures: probes in a row that failed.
@@ -74,6 +75,7 @@
         'health',
         'heard_at',
         'heard_elsewhere_at',
+        'is_evacuated',
         'is_former',
         'is_probing',
         'is_proven',
@@ -113,6 +115,7 @@
         self.present_at = _NEVER
         self.is_replaced = False
         self.is_former = False
+        self.is_evacuated = False
         self.has_token = True
         self.health = Health.GOOD
         self.failures = 0
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -10,6 +10,7 @@
 from skylarkfold import affinity
 from skylarkfold import errors
 from skylarkfold.forwarder import _departure
+from skylarkfold.forwarder import _knowledge
 from skylarkfold.forwarder import _metrics
 from skylarkfold.forwarder import _own
 from skylarkfold.forwarder import _peers
@@ -63,7 +64,10 @@
         self._settings = settings
         self._file = file
         own.affinity.flow_seconds = settings.flow_seconds
-        own.relay.topics = (platform.routes_topic, platform.upstreams_topic)
+        is_evacuated = settings.evacuation_seconds is not None
+        own.affinity.follows_evacuations = is_evacuated
+        self._knowledge = _knowledge.Knowledge(platform, settings)
+        own.relay.topics = self._knowledge.topics
         self._platform = platform
         self._packets = packets
         self._loop = reactor.Loop()
@@ -167,6 +171,9 @@
             return
         before, self._settings = self._settings, settings
         self._relay.set_seeds(settings.seeds)
+        if settings.zones != before.zones:
+            self._knowledge.zones = settings.zones
+            self._apply_all()
         reason = 'reloaded'
         if settings.list_addresses() != before.list_addresses():
             # The sockets are bound: only a restart moves them.
@@ -276,20 +283,24 @@
             topic=wanted.topic,
             revision=wanted.revision,
             source=wanted.source or 'store',
+            within_ms=_to_ms(wanted.lag_seconds),
             names=wanted.paths[:_LOGGED_NAMES],
         )
-        items = self._relay.list_items(wanted.topic)
-        if wanted.topic == self._platform.routes_topic:
-            routes = self._platform.decode_routes(items)
-            if routes is not None:
-                self._perform(self._affinity.set_routes(now, routes))
-        else:
-            upstreams = self._platform.decode_upstreams(items)
-            self._perform(self._affinity.set_upstreams(now, upstreams))
+        self._apply(now, wanted.topic)
         if self._is_ready and not self._was_ready:
             self._was_ready = True
             self._reporter.log('ready', version=self._affinity.version)
 
+    def _apply_all(self) -> None:
+        if self._relay.is_ready:
+            for topic in self._knowledge.topics:
+                self._apply(self._loop.now(), topic)
+
+    def _apply(self, now: float, topic: str) -> None:
+        items = self._relay.list_items(topic)
+        core = self._affinity
+        self._perform(self._knowledge.apply(now, topic, items, core))
+
     def take_beacon(self, host: str, beacon: relay.Beacon) -> None:
         """Take a peer's beacon.
 
@@ -375,10 +386,7 @@
             'busy': float(self._affinity.count_busy()),
             'peers': float(len(self._relay.peers.list_neighbours())),
         }
-        for topic in (
-            self._platform.routes_topic,
-            self._platform.upstreams_topic,
-        ):
+        for topic in self._knowledge.topics:
             age = self._relay.compute_age(now, topic)
             gauges[f'age_seconds_{topic}'] = -1.0 if age is None else age
         return gauges
@@ -401,5 +409,9 @@
         self._reporter.log('stopped')
 
 
+def _to_ms(seconds: float | None) -> int:
+    return -1 if seconds is None else int(seconds * 1000)
+
+
 def _ignore(_wanted: object) -> None:
     """Perform what needs nothing."""
--- /dev/null
+++ b/skylarkfold/forwarder/_knowledge.py
@@ -0,0 +1,75 @@
+"""Hands what the platform's store holds to the decisions."""
+
+from __future__ import annotations
+
+from skylarkfold import affinity
+from skylarkfold.forwarder import _platform
+from skylarkfold import machine
+from skylarkfold import relay
+
+
+class Knowledge:
+    """Reads the objects of a topic and puts them in force.
+
+    :param platform: reads the objects.
+    :param settings: whether zones are evacuated, and which there are.
+    """
+
+    __slots__ = ('_appliers', '_platform', 'zones')
+
+    def __init__(
+        self,
+        platform: _platform.Platform,
+        settings: machine.MachineSettings,
+    ) -> None:
+        self._platform = platform
+        self.zones = settings.zones
+        self._appliers = {
+            platform.routes_topic: self._apply_routes,
+            platform.upstreams_topic: self._apply_upstreams,
+        }
+        if settings.evacuation_seconds is not None:
+            topic = platform.evacuations_topic
+            self._appliers[topic] = self._apply_evacuations
+
+    @property
+    def topics(self) -> tuple[str, ...]:
+        """The topics that an instance follows."""
+        return tuple(self._appliers)
+
+    def apply(
+        self,
+        now: float,
+        topic: str,
+        items: list[relay.Item],
+        core: affinity.AffinityCore,
+    ) -> list[object]:
+        """Put the objects of a topic in force.
+
+        :param now: the time.
+        :param topic: one of :attr:`topics`.
+        :param items: all of its objects.
+        :param core: the decisions.
+        :returns: their effects.
+        """
+        return self._appliers[topic](now, items, core)
+
+    def _apply_routes(
+        self, now: float, items: list[relay.Item], core: affinity.AffinityCore
+    ) -> list[object]:
+        routes = self._platform.decode_routes(items)
+        if routes is None:
+            return []
+        return core.set_routes(now, routes)
+
+    def _apply_upstreams(
+        self, now: float, items: list[relay.Item], core: affinity.AffinityCore
+    ) -> list[object]:
+        upstreams = self._platform.decode_upstreams(items)
+        return core.set_upstreams(now, upstreams)
+
+    def _apply_evacuations(
+        self, now: float, items: list[relay.Item], core: affinity.AffinityCore
+    ) -> list[object]:
+        evacuations = self._platform.decode_evacuations(items, self.zones)
+        return core.set_evacuations(now, evacuations)
--- a/skylarkfold/forwarder/_platform.py
+++ b/skylarkfold/forwarder/_platform.py
@@ -28,10 +28,12 @@
 
     :ivar routes_topic: the topic of the objects that hold routes.
     :ivar upstreams_topic: the topic of the upstreams' entries.
+    :ivar evacuations_topic: the topic of requests to empty a zone.
     """
 
     routes_topic: str
     upstreams_topic: str
+    evacuations_topic: str
 
     def decode_packet(self, data: bytes) -> affinity.Packet | None:
         """Read a caller's packet; None if it is none."""
@@ -56,6 +58,11 @@
     ) -> list[affinity.Upstream]:
         """Read the upstreams' entries; unusable ones are left out."""
 
+    def decode_evacuations(
+        self, items: Iterable[relay.Item], zones: tuple[str, ...]
+    ) -> affinity.Evacuations:
+        """Read which of the zones are evacuated."""
+
     def list_counters(self) -> dict[str, int]:
         """List what could not be used so far, totals by name."""
 
--- a/skylarkfold/machine.py
+++ b/skylarkfold/machine.py
@@ -39,10 +39,14 @@
     :param link_mbps: the bandwidth of its link, in Mbit/s.
     :param grace_seconds: how long a planned stop may take.
     :param flow_seconds: the longest life of a flow.
+    :param zones: all availability zones.
+    :param evacuation_seconds: how soon an evacuation of one must be in force;
+        None where zones are not evacuated.
     """
 
     __slots__ = (
         'cores',
+        'evacuation_seconds',
         'flow_seconds',
         'grace_seconds',
         'link_mbps',
@@ -53,6 +57,7 @@
         'seeds',
         'store_address',
         'zone',
+        'zones',
     )
 
     def __init__(
@@ -68,6 +73,8 @@
         link_mbps: float,
         grace_seconds: float,
         flow_seconds: float,
+        zones: tuple[str, ...] = (),
+        evacuation_seconds: float | None = None,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -80,6 +87,8 @@
         self.link_mbps = link_mbps
         self.grace_seconds = grace_seconds
         self.flow_seconds = flow_seconds
+        self.zones = zones
+        self.evacuation_seconds = evacuation_seconds
 
     @property
     def capacity(self) -> int:
@@ -184,6 +193,8 @@
         link_mbps=section.get_number('link_mbps', 0.0),
         grace_seconds=section.get_number('grace_seconds', _GRACE_SECONDS),
         flow_seconds=section.get_number('flow_seconds', _FLOW_SECONDS),
+        zones=section.get_texts('zones'),
+        evacuation_seconds=section.get_seconds('evacuation_ms'),
     )
 
 
@@ -210,6 +221,19 @@
             raise self._complain(name, f'{value} is out of range')
         return float(value)
 
+    def get_seconds(self, name: str) -> float | None:
+        """Read a number of milliseconds; None where there is none."""
+        if name not in self._fields:
+            return None
+        return self.get_number(name, 0.0) / 1000
+
+    def get_texts(self, name: str) -> tuple[str, ...]:
+        values = self._fields.get(name, [])
+        is_list = isinstance(values, list)
+        if not is_list or not all(isinstance(each, str) for each in values):
+            raise self._complain(name, 'a list of texts is wanted')
+        return tuple(values)
+
     def get_address(self, name: str) -> tuple[str, int]:
         host, _, port = self.get_text(name).rpartition(':')
         if not host or not port.isdecimal() or int(port) > _MAXIMUM_PORT:
--- a/skylarkfold/platform/_adapter.py
+++ b/skylarkfold/platform/_adapter.py
@@ -22,6 +22,7 @@
 
     routes_topic = _objects.ROUTES_TOPIC
     upstreams_topic = _objects.UPSTREAMS_TOPIC
+    evacuations_topic = _objects.EVACUATIONS_TOPIC
 
     def __init__(self, settings: machine.MachineSettings) -> None:
         self._settings = settings
@@ -37,6 +38,12 @@
         """Read the routes; None where there are none that can be used."""
         return _objects.decode_routes(items, self._complaints)
 
+    def decode_evacuations(
+        self, items: Iterable[relay.Item], zones: tuple[str, ...]
+    ) -> affinity.Evacuations:
+        """Read which of the availability zones are evacuated."""
+        return _objects.decode_evacuations(items, zones, self._complaints)
+
     def list_counters(self) -> dict[str, int]:
         """List what could not be used so far, totals by name."""
         return dict(self._complaints.counters)
--- a/skylarkfold/platform/_complaints.py
+++ b/skylarkfold/platform/_complaints.py
@@ -16,6 +16,7 @@
 UPSTREAM = 'upstream'
 ROUTE = 'route'
 ROUTES = 'routes'
+EVACUATION = 'evacuation'
 
 _PREFIX = 'unusable'
 
--- a/skylarkfold/platform/_fields.py
+++ b/skylarkfold/platform/_fields.py
@@ -125,14 +125,14 @@
             raise errors.DecodeError(f'{name}: true or false is wanted')
         return value
 
-    def get_map(self, name: str) -> dict[str, object]:
+    def get_map(self, name: str) -> dict[str, object] | None:
         """Read a map, of whatever it holds.
 
         :param name: the field's name.
-        :returns: the map; an empty one in place of anything else.
+        :returns: the map; None in place of anything else.
         """
         value = self._values.get(name)
-        return value if isinstance(value, dict) else {}
+        return value if isinstance(value, dict) else None
 
     def get_list(self, name: str) -> list[object]:
         """Read a list.
--- a/skylarkfold/platform/_objects.py
+++ b/skylarkfold/platform/_objects.py
@@ -17,6 +17,7 @@
 # The kinds of objects that an instance follows.
 ROUTES_TOPIC = 'config'
 UPSTREAMS_TOPIC = 'servers'
+EVACUATIONS_TOPIC = 'evacuations'
 
 # The one object that holds the newest configuration.
 _ROUTES_NAME = 'main'
@@ -59,6 +60,36 @@
     return None
 
 
+def decode_evacuations(
+    items: Iterable[relay.Item],
+    zones: tuple[str, ...],
+    complaints: _complaints.Complaints | None = None,
+) -> affinity.Evacuations:
+    """Read which availability zones operators have emptied.
+
+    An entry's name is the zone; that it is there, with a map for a value, is
+    the request. One that other programs left with any other value, or for
+    what is no zone here, evacuates nothing.
+
+    :param items: the objects of their kind.
+    :param zones: all zones; empty where they are not known.
+    :param complaints: where entries that can't be used are noted.
+    :returns: the zones.
+    """
+    revisions = {}
+    for item in items:
+        if not zones or item.path in zones:
+            revisions[item.path] = item.revision
+        elif complaints is not None:
+            complaints.note(
+                _complaints.EVACUATION,
+                item.path,
+                item.revision,
+                'no availability zone has this name',
+            )
+    return affinity.Evacuations(revisions)
+
+
 class UpstreamDecoder:
     """Reads the upstreams' entries, each form of one only once.
 
--- a/skylarkfold/platform/_store.py
+++ b/skylarkfold/platform/_store.py
@@ -165,11 +165,17 @@
     :param complaints: where these are noted.
     """
 
-    __slots__ = ('_complaints', '_topic')
+    __slots__ = ('_complaints', '_topic', '_unusable')
 
     def __init__(self, topic: str, complaints: _complaints.Complaints) -> None:
         self._topic = topic
         self._complaints = complaints
+        # An empty entry names nothing to use, but of an evacuation the name
+        # says all: one that can't be read counts as none.
+        is_said_by_name = topic == _objects.EVACUATIONS_TOPIC
+        self._unusable: dict[str, object] | None = (
+            None if is_said_by_name else {}
+        )
 
     def read(self, fields: _fields.Fields) -> relay.Answer:
         """Read an answer.
@@ -180,9 +186,9 @@
         """
         revision = fields.get_count('current_rev', 0, _MOST_REVISION)
         if fields.has('events'):
-            items = self._read_all(fields.get_list('events'), _read_event)
+            items = self._read_all(fields.get_list('events'), self._read_event)
             return relay.Answer(relay.Status.OK, items, revision)
-        items = self._read_all(fields.get_list('items'), _read_object)
+        items = self._read_all(fields.get_list('items'), self._read_object)
         is_truncated = fields.is_set('truncated')
         if is_truncated and not items:
             # Where the next page begins is not known; as it stands, all
@@ -211,7 +217,7 @@
     def _check_value(self, item: relay.Item) -> None:
         """Empty a value that peers could not be sent.
 
-        :param item: the object; an empty one names nothing to use.
+        :param item: the object.
         """
         if item.value is None:
             return
@@ -222,27 +228,29 @@
             reason = 'the value is too large'
         except errors.DecodeError as error:
             reason = error.reason
-        item.value = {}
+        item.value = self._unusable
         self._complaints.note(
             _complaints.OBJECT, item.path, item.revision, reason
         )
 
-
-def _read_event(fields: _fields.Fields) -> relay.Item:
-    item = _read_object(fields.get_fields('object'))
-    if fields.get_flag('deleted'):
-        item.value = None
-    return item
-
-
-def _read_object(fields: _fields.Fields) -> relay.Item:
-    meta = fields.get_fields('meta')
-    name = meta.get_text('name')
-    if not name.isprintable():
-        raise errors.DecodeError('name: printable text is wanted')
-    return relay.Item(
-        name,
-        meta.get_count('rev', 0, _MOST_REVISION),
-        meta.get_count('create_rev', 0, _MOST_REVISION),
-        fields.get_map('spec'),
-    )
+    def _read_event(self, fields: _fields.Fields) -> relay.Item:
+        item = self._read_object(fields.get_fields('object'))
+        if fields.get_flag('deleted'):
+            item.value = None
+        return item
+
+    def _read_object(self, fields: _fields.Fields) -> relay.Item:
+        meta = fields.get_fields('meta')
+        name = meta.get_text('name')
+        if not name.isprintable():
+            raise errors.DecodeError('name: printable text is wanted')
+        revision = meta.get_count('rev', 0, _MOST_REVISION)
+        value = fields.get_map('spec')
+        if value is None:
+            value = self._unusable
+        if value is None:
+            self._complaints.note(
+                _complaints.OBJECT, name, revision, 'spec: a map is wanted'
+            )
+        created = meta.get_count('create_rev', 0, _MOST_REVISION)
+        return relay.Item(name, revision, created, value)
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -390,7 +390,13 @@
         if changed or is_first:
             paths = [each.path for each in changed]
             effects.append(
-                _effect.Changed(topic.name, topic.position, source, paths)
+                _effect.Changed(
+                    topic.name,
+                    topic.position,
+                    source,
+                    paths,
+                    topic.compute_lag(now),
+                )
             )
         if changed and not is_first:
             effects += self._announcer.push(now, topic, base, changed, source)
--- a/skylarkfold/relay/_effect.py
+++ b/skylarkfold/relay/_effect.py
@@ -57,17 +57,25 @@
     :param revision: up to which revision they are known now.
     :param source: the host that told of it; empty for the store.
     :param paths: the names of the objects that changed.
+    :param lag_seconds: how long ago they were written at most, by when the
+        store last confirmed what was known; None where it never did.
     """
 
-    __slots__ = ('paths', 'revision', 'source', 'topic')
+    __slots__ = ('lag_seconds', 'paths', 'revision', 'source', 'topic')
 
     def __init__(
-        self, topic: str, revision: int, source: str, paths: list[str]
+        self,
+        topic: str,
+        revision: int,
+        source: str,
+        paths: list[str],
+        lag_seconds: float | None = None,
     ) -> None:
         self.topic = topic
         self.revision = revision
         self.source = source
         self.paths = paths
+        self.lag_seconds = lag_seconds
 
 
 class TakeLoad:
--- a/skylarkfold/relay/_topic.py
+++ b/skylarkfold/relay/_topic.py
@@ -20,6 +20,7 @@
     :param feed: what asks the store.
     :param tombstones: how many deletions are remembered.
     :ivar confirmed_at: when the store last confirmed what is known here.
+    :ivar sure_until: the same, just before the last change was learnt.
     :ivar changed: the revision of the last change that is known.
     :ivar fetching: the host that is being asked, empty for none.
     :ivar fetch_until: when it is given up.
@@ -35,6 +36,7 @@
         'name',
         'number',
         'shelf',
+        'sure_until',
     )
 
     def __init__(
@@ -46,6 +48,7 @@
         self.shelf = shelf.Shelf(tombstones)
         self.is_complete = False
         self.confirmed_at = _NEVER
+        self.sure_until = _NEVER
         self.changed = 0
         self.fetching = ''
         self.fetch_until = _NEVER
@@ -65,6 +68,16 @@
             return None
         return max(0.0, now - self.confirmed_at)
 
+    def compute_lag(self, now: float) -> float | None:
+        """Compute how long ago the last change was written at most.
+
+        :param now: when it was learnt.
+        :returns: seconds, None for an unlimited time.
+        """
+        if self.sure_until == _NEVER:
+            return None
+        return now - self.sure_until
+
     def describe(self, now: float) -> _messages.Position:
         """Tell how far this instance is.
 
@@ -143,6 +156,7 @@
     ) -> list[_item.Item]:
         self.shelf.advance(revision)
         self.is_complete = True
+        self.sure_until = self.confirmed_at
         for each in changed:
             self.changed = max(self.changed, each.revision)
         return changed
--- a/skylarkfold/standin/packets/_settings.py
+++ b/skylarkfold/standin/packets/_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import pathlib
 
 from skylarkfold.standin.packets import _template
@@ -19,6 +20,7 @@
     base_port: int,
     seeds: list[str],
     store: tuple[str, int],
+    zones: Iterable[str] = (),
 ) -> None:
     """Write an instance's settings file.
 
@@ -29,8 +31,9 @@
     :param base_port: the first of ten ports that all instances use.
     :param seeds: hosts of other instances.
     :param store: the store's address.
+    :param zones: all availability zones.
     """
-    fields = build_fields(name, zone, host, base_port, seeds, store)
+    fields = build_fields(name, zone, host, base_port, seeds, store, zones)
     template = (_ROOT / TEMPLATE_PATH).read_text()
     path.write_text(_template.fill(template, fields))
 
@@ -42,6 +45,7 @@
     base_port: int,
     seeds: list[str],
     store: tuple[str, int],
+    zones: Iterable[str] = (),
 ) -> dict[str, object]:
     """Build what the platform fills a template from.
 
@@ -64,6 +68,7 @@
             'control_addr': f'{host}:{base_port + 2}',
         },
         'limits': {'cpu_share': 1.0, 'cores': 1, 'link_mbps': 1000.0},
-        'bounds': {'grace_s': 6, 'max_flow_s': 60},
+        'zones': dict.fromkeys(zones, 'loopback'),
+        'bounds': {'grace_s': 6, 'max_flow_s': 60, 'evacuate_ms': 5000},
         'platform': {'address': f'{store[0]}:{store[1]}'},
     }
--- a/skylarkfold/standin/packets/_template.py
+++ b/skylarkfold/standin/packets/_template.py
@@ -13,7 +13,8 @@
 
     :param template: text with ``{{a.b}}``, ``{{a.b|json}}``, sections
         ``{{#a}}..{{/a}}`` and ``{{^a}}..{{/a}}``; in a section ``{{.}}`` is
-        the entry and ``{{,}}`` a comma but after the last one.
+        the entry, ``{{@}}`` its key or index and ``{{,}}`` a comma but
+        after the last one.
     :param fields: the platform's settings.
     :returns: the text.
     :raises ValueError: if a section does not end.
@@ -51,13 +52,21 @@
         return _fill(inner, scopes, True) if is_wanted else ''
     if value is None or value is False:
         return ''
-    entries = value if isinstance(value, list) else [value]
+    entries = _list_entries(value)
     return ''.join(
-        _fill(inner, [*scopes, entry], number == len(entries) - 1)
-        for number, entry in enumerate(entries)
+        _fill(inner, [*scopes, {'@': key}, entry], number == len(entries) - 1)
+        for number, (key, entry) in enumerate(entries)
     )
 
 
+def _list_entries(value: object) -> list[tuple[object, object]]:
+    if isinstance(value, list):
+        return list(enumerate(value))
+    if isinstance(value, dict):
+        return list(value.items())
+    return [(0, value)]
+
+
 def _find(name: str, scopes: list[object]) -> object:
     if name == '.':
         return scopes[-1]
--- /dev/null
+++ b/skylarkfold/tests/affinity/test_evacuation.py
@@ -0,0 +1,192 @@
+"""Tests of availability zones that operators empty."""
+
+import collections
+
+import testtools
+
+from skylarkfold import affinity
+from skylarkfold.tests.affinity import samples
+
+ZONES = ('caerdydd', 'abertawe', 'casnewydd')
+EACH = 3
+FLOWS = 90
+# A caller repeats a first packet after 0.2 s and after 0.6 s.
+COPY_SECONDS = 0.2
+TICK_SECONDS = 0.01
+
+
+def build_upstreams():
+    """Build some upstreams in each zone."""
+    return [
+        samples.build_upstream(zone_number * 16 + number + 1, zone=zone)
+        for zone_number, zone in enumerate(ZONES)
+        for number in range(EACH)
+    ]
+
+
+def evacuate(*zones):
+    """Build the request to empty zones."""
+    return affinity.Evacuations(dict.fromkeys(zones, 7))
+
+
+def build_core(*upstreams):
+    settings = affinity.AffinitySettings(follows_evacuations=True)
+    return samples.build_core(*upstreams, settings=settings)
+
+
+class EvacuationTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.upstreams = build_upstreams()
+        self.by_name = {each.name: each for each in self.upstreams}
+        self.core = build_core(*self.upstreams)
+        self.core.set_evacuations(0.0, evacuate())
+
+    def list_zones(self, effects):
+        return [
+            self.by_name[name].zone for name in samples.list_forwards(effects)
+        ]
+
+    def open_flows(self, now, ports):
+        """Send first packets; tell which zones they went to."""
+        zones = []
+        for port in ports:
+            effects = self.core.take_packet(now, samples.build_first(port))
+            zones += self.list_zones(effects)
+        return zones
+
+    def run_until(self, begin, end):
+        effects = []
+        now = begin
+        while now < end:
+            now += TICK_SECONDS
+            effects += self.core.tick(now)
+        return effects
+
+    def test_an_instance_is_not_ready_before_it_knows_them(self):
+        core = build_core(*self.upstreams)
+        self.assertFalse(core.is_ready)
+        self.assertEqual([], core.take_packet(0.0, samples.build_first(1)))
+        released = core.set_evacuations(0.1, evacuate(*ZONES[:2]))
+        (name,) = samples.list_forwards(released)
+        self.assertEqual(ZONES[2], self.by_name[name].zone)
+        self.assertTrue(core.is_ready)
+
+    def test_where_zones_are_not_evacuated_none_is_waited_for(self):
+        self.assertTrue(samples.build_core(*self.upstreams).is_ready)
+
+    def test_no_new_flow_goes_to_a_zone_that_is_evacuated(self):
+        self.core.set_evacuations(1.0, evacuate(samples.ZONE))
+        zones = self.open_flows(1.0, range(FLOWS))
+        self.assertEqual(FLOWS, len(zones))
+        self.assertNotIn(samples.ZONE, zones)
+
+    def test_its_callers_are_spread_over_all_others(self):
+        self.core.set_evacuations(1.0, evacuate(samples.ZONE))
+        counted = collections.Counter(self.open_flows(1.0, range(FLOWS)))
+        self.assertEqual(set(ZONES[1:]), set(counted))
+        self.assertLess(max(counted.values()), FLOWS * 0.6)
+
+    def test_open_flows_stay_where_they_are(self):
+        self.core.set_evacuations(0.0, evacuate(*ZONES[1:]))
+        self.open_flows(0.0, [1])
+        upstream = self.by_name[self.find_upstream(1)]
+        packet = samples.build_packet(1, upstream.token, length=100)
+        self.core.take_packet(0.01, packet)
+        effects = self.core.set_evacuations(0.1, evacuate(upstream.zone))
+        self.assertEqual([], samples.list_resets(effects))
+        later = samples.build_packet(1, upstream.token, 201, 601, 100)
+        forwarded = samples.list_forwards(self.core.take_packet(0.2, later))
+        self.assertEqual([upstream.name], forwarded)
+
+    def find_upstream(self, port):
+        flow = self.core._flows.get(samples.build_flow(port))
+        return flow.standing.upstream.name
+
+    def test_a_second_try_does_not_go_to_one(self):
+        self.open_flows(0.0, range(20))
+        self.core.set_evacuations(0.001, evacuate(samples.ZONE))
+        effects = self.run_until(0.001, 0.15)
+        self.assertEqual(40, len(self.list_zones(effects)))
+        self.assertNotIn(samples.ZONE, self.list_zones(effects))
+
+    def test_a_copy_that_all_have_had_does_not_go_to_one(self):
+        # One upstream a zone, so that each has had the first packet.
+        few = self.upstreams[::EACH]
+        core = build_core(*few)
+        core.set_evacuations(0.0, evacuate())
+        core.take_packet(0.0, samples.build_first(1))
+        for step in range(15):
+            core.tick(step * TICK_SECONDS)
+        (flow,) = core._flows
+        self.assertEqual(len(few), len(flow.tried))
+        last = flow.standing.upstream.zone
+        core.set_evacuations(COPY_SECONDS, evacuate(last))
+        copy = samples.build_first(1, copy=1)
+        effects = core.take_packet(COPY_SECONDS, copy)
+        (name,) = samples.list_forwards(effects)
+        self.assertNotEqual(last, self.by_name[name].zone)
+
+    def test_a_copy_goes_to_none_that_leaves(self):
+        upstream = samples.build_upstream(1)
+        core = build_core(upstream)
+        core.set_evacuations(0.0, evacuate())
+        core.take_packet(0.0, samples.build_first(1))
+        core.set_upstreams(0.1, [samples.build_upstream(1, is_draining=True)])
+        copy = samples.build_first(1, copy=1)
+        effects = core.take_packet(COPY_SECONDS, copy)
+        self.assertEqual([], samples.list_forwards(effects))
+        self.assertEqual(1, len(samples.list_resets(effects)))
+
+    def test_where_nobody_is_left_the_caller_is_told_at_once(self):
+        self.core.set_evacuations(1.0, evacuate(*ZONES))
+        effects = self.core.take_packet(1.0, samples.build_first(1))
+        self.assertEqual([], samples.list_forwards(effects))
+        self.assertEqual(1, len(samples.list_resets(effects)))
+
+    def test_a_copy_is_told_too_when_nobody_is_left(self):
+        self.open_flows(0.0, [1])
+        self.core.set_evacuations(0.1, evacuate(*ZONES))
+        copy = samples.build_first(1, copy=1)
+        effects = self.core.take_packet(COPY_SECONDS, copy)
+        self.assertEqual([], samples.list_forwards(effects))
+        self.assertEqual(1, len(samples.list_resets(effects)))
+
+    def test_one_whose_entry_has_lapsed_gets_none(self):
+        self.core.set_evacuations(0.0, evacuate(samples.ZONE))
+        self.core.set_upstreams(0.0, [])
+        zones = self.open_flows(0.1, range(20))
+        self.assertEqual(20, len(zones))
+        self.assertNotIn(samples.ZONE, zones)
+
+    def test_one_that_starts_there_gets_none(self):
+        self.core.set_evacuations(0.0, evacuate(samples.ZONE))
+        idle = samples.build_upstream(99, created=99)
+        self.by_name[idle.name] = idle
+        self.core.set_upstreams(0.1, [*self.upstreams, idle])
+        self.assertNotIn(samples.ZONE, self.open_flows(0.1, range(20)))
+
+    def test_a_zone_that_is_taken_back_gets_flows_again(self):
+        self.core.set_evacuations(0.0, evacuate(samples.ZONE))
+        self.open_flows(0.0, range(20))
+        self.core.set_evacuations(9.0, evacuate())
+        self.assertIn(samples.ZONE, self.open_flows(9.0, range(50, 90)))
+
+    def test_begin_and_end_are_said(self):
+        begun = self.core.set_evacuations(1.0, evacuate(samples.ZONE))
+        ended = self.core.set_evacuations(2.0, evacuate())
+        self.assertEqual([], self.core.set_evacuations(3.0, evacuate()))
+        lines = [
+            (each.kind, each.reason, each.details['zone'])
+            for each in (*begun, *ended)
+            if isinstance(each, affinity.Record)
+        ]
+        self.assertEqual(
+            [
+                ('evacuation', 'started', samples.ZONE),
+                ('evacuation', 'ended', samples.ZONE),
+            ],
+            lines,
+        )
+        self.assertEqual(7, begun[0].details['revision'])
+        self.assertEqual(EACH, begun[0].details['upstreams'])
