Relay: nobody watches the store before it knows whose duty that is

Change: a watch begins 1.2 s after the start at the earliest: seeds that did not answer have been tried again by then. What was listed is that old at most, and the platform takes no instance for in touch so soon after a start. 0.6 s was tried and is too short: seeds are tried every second.

--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -314,6 +314,8 @@
             return now - self._started_at >= settings.first_seconds
         if not self.is_ready:
             return False
+        if now - self._started_at < settings.duty_seconds:
+            return False
         turn = self._peers.compute_rank()
         if topic.is_shared:
             turn = self._peers.compute_turn()
--- a/skylarkfold/relay/_settings.py
+++ b/skylarkfold/relay/_settings.py
@@ -42,6 +42,9 @@
         they are large. With 3 KB at rest that is 10.5 KB a second.
     :param first_seconds: how long a new instance waits for a peer to
         answer before it asks the store; peers answer within 10 ms.
+    :param duty_seconds: after its start, how long an instance watches nothing:
+        who has that duty is not known before lost seeds were tried again, and
+        all of a fleet that starts at once would take it.
     :param seed_seconds: how often seeds that nobody known has are tried,
         and instances of zones that were lost.
     :param seed_members: an instance that knows more instances than this
@@ -71,6 +74,7 @@
     __slots__ = (
         'beacon_seconds',
         'call_timeout_seconds',
+        'duty_seconds',
         'far_seconds',
         'fetch_seconds',
         'first_seconds',
@@ -116,6 +120,7 @@
         load_entries: int = 256,
         load_bytes_per_second: float = 2500.0,
         first_seconds: float = 0.015,
+        duty_seconds: float = 1.2,
         seed_seconds: float = 1.0,
         seed_members: int = 12,
         seed_pause_seconds: float = 30.0,
@@ -144,6 +149,7 @@
         self.load_entries = load_entries
         self.load_bytes_per_second = load_bytes_per_second
         self.first_seconds = first_seconds
+        self.duty_seconds = duty_seconds
         self.seed_seconds = seed_seconds
         self.seed_members = seed_members
         self.seed_pause_seconds = seed_pause_seconds
--- a/skylarkfold/tests/relay/test_spread.py
+++ b/skylarkfold/tests/relay/test_spread.py
@@ -47,6 +47,24 @@
             self.fleet.store.calls.total() - before, 3 * (20 + 2 * 8)
         )
 
+    def test_nobody_watches_before_it_knows_who_has_that_duty(self):
+        calls = []
+        for seconds in (0.0, relay.RelaySettings().duty_seconds):
+            settings = relay.RelaySettings(
+                topics=fleet_module.TOPICS, duty_seconds=seconds
+            )
+            fleet = fleet_module.Fleet(ZONES, settings)
+            fleet.store.put('routes', 'main', {'version': 1})
+            # Those that are ready first hear nobody yet.
+            fleet.cut = lambda one, other: other != fleet_module.STORE
+            fleet.run(0.4)
+            fleet.cut = lambda one, other: False
+            fleet.run(1.6)
+            calls.append(fleet.store.calls.total())
+        # A listing of two topics each, and a watch of each in three zones.
+        self.assertLessEqual(calls[1], 2 * len(ZONES) + 2 * 3)
+        self.assertGreater(calls[0], calls[1])
+
     def test_an_instance_that_the_store_turns_away_is_told_by_others(self):
         self.fleet.cut = lambda one, other: (
             other == fleet_module.STORE
