Affinity: what an upstream gets while it warms up is bounded and learnt

Cause: the users bound the requests that a cold upstream gets in any second, summed over all instances, by what its service is said to bear then, times a factor, plus a slack; the product knew no such bound. How slow one is stood for a slowness that one site had (0.6 of its slots).

Change: each upstream that warms up has few owners, drawn by rendezvous hashing among the instances of its own zone; they send a quarter of the bound, all others pass it by. Instances that fell silent count for ten minutes, and one that has just started owns nothing for 5 s, so that neither a cut nor a start of all makes owners. Warm ones go first; what nobody may take is refused at once. Each change of an entry counts what is left of the time; a zone that is taken back counts as cold until its entries can have said so. How slow they are is learnt from answers, beginning with half of the slots.

Ruled out: equal shares, since 5 a second over 84 instances and 16 spare ones are one flow in 20 s for each. Half of the bound in place of a quarter holds in the random test, too; views of three ages at once, with a cut and two newcomers, would then make six of five, by reasoning, not by a run.

Tests: fleets of 7, 84 and 195, a state machine of evacuations, starts, cuts and joins with differing views, entries read late and again, copies.

--- a/skylarkfold/affinity/__init__.py
+++ b/skylarkfold/affinity/__init__.py
@@ -26,6 +26,7 @@
 from skylarkfold.affinity._route import RouteTable
 from skylarkfold.affinity._settings import AffinitySettings
 from skylarkfold.affinity._upstream import Upstream
+from skylarkfold.affinity._warm_up import WarmUp
 
 __all__ = [
     'AffinityCore',
@@ -44,6 +45,7 @@
     'RouteTable',
     'TellPeers',
     'Upstream',
+    'WarmUp',
     'format_flow',
     'pack_address',
 ]
--- a/skylarkfold/affinity/_admission.py
+++ b/skylarkfold/affinity/_admission.py
@@ -67,6 +67,10 @@
             # It was full, which says nothing of its health.
             return
         standing.note_haste(is_hasty)
+        if now < standing.warming_until:
+            if ahead < standing.upstream.slots and own.seconds:
+                standing.slowness.note(seconds / own.seconds)
+            return
         queue.note(seconds / turns)
         if turns == 1:
             own.note(seconds)
--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -23,6 +23,7 @@
 from skylarkfold.affinity import _suspects
 from skylarkfold.affinity import _tally
 from skylarkfold.affinity import _upstream
+from skylarkfold.affinity import _warm_up
 from skylarkfold.affinity import _words
 from skylarkfold.affinity import _work
 
@@ -57,8 +58,15 @@
             settings, self._suspects, self._admission, self.tally
         )
         self._peer_loads = _load.PeerLoads(settings, self._directory)
+        self._limit = _warm_up.WarmUpLimit(zone, settings)
+        self.set_mates = self._limit.set_mates
         self._opener = _opening.Opener(
-            zone, settings, self._directory, self._health, self.tally
+            zone,
+            settings,
+            self._directory,
+            self._health,
+            self._limit,
+            self.tally,
         )
         self._held = _held.HeldPackets()
         self._presence = _presence.Presence(
@@ -67,6 +75,7 @@
             self._health,
             self._ending,
             self._peer_loads,
+            self._limit,
         )
         words = _words.PeerWords(
             settings, self._directory, self._suspects, self._peer_loads
@@ -109,6 +118,7 @@
         if routes.version <= self._routes.version:
             return []
         self._routes = routes
+        self._limit.set_warm_ups(routes.warm_ups)
         details = {'version': routes.version, 'routes': len(routes)}
         effects: list[object] = [
             _effect.Record('routes', 'in-force', details=details)
--- a/skylarkfold/affinity/_directory.py
+++ b/skylarkfold/affinity/_directory.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 from skylarkfold.affinity import _settings
+from skylarkfold.affinity import _slowness
 from skylarkfold.affinity import _standing
 from skylarkfold.affinity import _upstream
 
@@ -62,6 +63,7 @@
         '_by_service',
         '_by_token',
         '_settings',
+        '_slowness',
     )
 
     def __init__(self, settings: _settings.AffinitySettings) -> None:
@@ -70,6 +72,7 @@
         self._by_token: dict[int, _standing.Standing] = {}
         self._by_incarnation: dict[int, _standing.Standing] = {}
         self._by_service: dict[str, list[_standing.Standing]] = {}
+        self._slowness: dict[str, _slowness.Slowness] = {}
 
     def __len__(self) -> int:
         return len(self._by_name)
@@ -165,7 +168,8 @@
         if not upstream.is_same_start(standing.upstream):
             standing.is_former = True
             return self._add(now, upstream, Change.RESTARTED, standing)
-        before, standing.upstream = standing.upstream, upstream
+        before = standing.upstream
+        standing.take_entry(now, upstream)
         if standing.lapsed_at is not None:
             standing.lapsed_at = None
             return EntryChange(Change.BACK, standing)
@@ -180,7 +184,11 @@
         kind: str,
         former: _standing.Standing | None = None,
     ) -> EntryChange:
-        standing = _standing.Standing(upstream, now)
+        slowness = self._slowness.get(upstream.service)
+        if slowness is None:
+            slowness = _slowness.Slowness()
+            self._slowness[upstream.service] = slowness
+        standing = _standing.Standing(upstream, now, slowness)
         self._by_name[upstream.name] = standing
         return EntryChange(kind, standing, former)
 
--- a/skylarkfold/affinity/_opening.py
+++ b/skylarkfold/affinity/_opening.py
@@ -14,6 +14,7 @@
 from skylarkfold.affinity import _settings
 from skylarkfold.affinity import _standing
 from skylarkfold.affinity import _tally
+from skylarkfold.affinity import _warm_up
 
 Reason = _effect.Reason
 
@@ -25,12 +26,14 @@
     :param settings: the limits.
     :param directory: all upstreams.
     :param health: told of first packets that are not answered.
+    :param limit: of first packets to upstreams that warm up.
     :param tally: where flows are counted.
     """
 
     __slots__ = (
         '_directory',
         '_health',
+        '_limit',
         '_settings',
         '_tally',
         '_waiting',
@@ -43,12 +46,14 @@
         settings: _settings.AffinitySettings,
         directory: _directory.Directory,
         health: _health.HealthWatch,
+        limit: _warm_up.WarmUpLimit,
         tally: _tally.Tally,
     ) -> None:
         self._zone = zone
         self._settings = settings
         self._directory = directory
         self._health = health
+        self._limit = limit
         self._tally = tally
         self._waiting: collections.deque[tuple[float, _flow.Flow]] = (
             collections.deque()
@@ -78,6 +83,7 @@
             hashed >> 16,
             tried,
             self._settings,
+            self._limit,
         )
 
     def send(
@@ -99,6 +105,7 @@
         """
         _flow.count_in(flow, standing)
         _flow.begin_work(flow, now)
+        self._limit.note_opening(now, standing)
         flow.placed_at = now
         flow.tried = (*flow.tried, standing.upstream.name)
         due = now + self._settings.open_patience_seconds
@@ -142,6 +149,7 @@
         again = self._choose_again(now, flow, routes, ())
         if again is None:
             return [*effects, *self._refuse(now, flow, packet, routes)]
+        self._limit.note_opening(now, again)
         return [*effects, _effect.Forward(again.upstream, packet.data)]
 
     def _refuse(
--- a/skylarkfold/affinity/_placement.py
+++ b/skylarkfold/affinity/_placement.py
@@ -8,6 +8,7 @@
 
 from skylarkfold.affinity import _settings
 from skylarkfold.affinity import _standing
+from skylarkfold.affinity import _warm_up
 
 # Requests at a time that a flow is taken to bring at least, so that flows
 # count where few requests come.
@@ -30,6 +31,7 @@
     hashed: int,
     tried: tuple[str, ...],
     settings: _settings.AffinitySettings,
+    limit: _warm_up.WarmUpLimit,
 ) -> _standing.Standing | None:
     """Choose an upstream for a flow's first packet.
 
@@ -44,6 +46,7 @@
     :param hashed: the flow's hash, which decides between equals.
     :param tried: names of upstreams that got the packet before.
     :param settings: the limits.
+    :param limit: of those that warm up.
     :returns: the upstream, None where there is none to try.
     """
     ranked: dict[int, list[_standing.Standing]] = {}
@@ -51,7 +54,9 @@
         if each.upstream.name in tried:
             continue
         rank = _rank(now, each, settings)
-        if rank is not None:
+        if rank is None:
+            continue
+        if now >= each.warming_until or limit.allows(now, each):
             ranked.setdefault(rank, []).append(each)
     if not ranked:
         return None
--- a/skylarkfold/affinity/_presence.py
+++ b/skylarkfold/affinity/_presence.py
@@ -13,6 +13,7 @@
 from skylarkfold.affinity import _settings
 from skylarkfold.affinity import _standing
 from skylarkfold.affinity import _upstream
+from skylarkfold.affinity import _warm_up
 
 _NEVER = float('-inf')
 
@@ -25,6 +26,7 @@
     :param health: told of entries that disappear.
     :param ending: ends flows of upstreams that are gone.
     :param peer_loads: summed up again after a change.
+    :param limit: knows how upstreams start.
     """
 
     __slots__ = (
@@ -33,6 +35,7 @@
         '_evacuations',
         '_health',
         '_is_listed',
+        '_limit',
         '_peer_loads',
         '_present',
         '_present_at',
@@ -47,12 +50,14 @@
         health: _health.HealthWatch,
         ending: _ending.Ending,
         peer_loads: _load.PeerLoads,
+        limit: _warm_up.WarmUpLimit,
     ) -> None:
         self._settings = settings
         self._directory = directory
         self._health = health
         self._ending = ending
         self._peer_loads = peer_loads
+        self._limit = limit
         self._services: frozenset[str] = frozenset()
         self._present: tuple[_upstream.Upstream, ...] = ()
         self._present_at = _NEVER
@@ -116,6 +121,7 @@
             effects.append(self._record_evacuation('started', zone, revision))
         for zone in sorted(set(before) - set(evacuations)):
             revision = before.get_revision(zone)
+            self._expect_warm_up(now, zone)
             effects.append(self._record_evacuation('ended', zone, revision))
         return effects
 
@@ -155,6 +161,17 @@
         for standing in self._directory:
             standing.is_evacuated = standing.upstream.zone in evacuations
 
+    def _expect_warm_up(self, now: float, zone: str) -> None:
+        """Take that a zone's upstreams are idle, and slow for all we know.
+
+        Whether they are is in their entries within a heartbeat.
+        """
+        for standing in self._directory:
+            if standing.upstream.zone == zone:
+                service = standing.upstream.service
+                seconds = self._limit.find_seconds(service)
+                standing.expect_warm_up(now, seconds)
+
     def _record_evacuation(
         self, reason: str, zone: str, revision: int
     ) -> _effect.Record:
--- a/skylarkfold/affinity/_route.py
+++ b/skylarkfold/affinity/_route.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Mapping
+
+from skylarkfold.affinity import _warm_up
 
 
 class Route:
@@ -69,9 +72,10 @@
         forgotten.
     :param services: the services that there are; empty where that is not
         said.
+    :param warm_ups: how the upstreams of services start, by service.
     """
 
-    __slots__ = ('_routes', 'idle_seconds', 'services', 'version')
+    __slots__ = ('_routes', 'idle_seconds', 'services', 'version', 'warm_ups')
 
     def __init__(
         self,
@@ -79,8 +83,10 @@
         routes: Iterable[Route],
         idle_seconds: float = 15.0,
         services: Iterable[str] = (),
+        warm_ups: Mapping[str, _warm_up.WarmUp] | None = None,
     ) -> None:
         self.version = version
+        self.warm_ups = warm_ups or {}
         self.services = frozenset(services)
         self.idle_seconds = idle_seconds
         self._routes = {each.address: each for each in routes}
--- a/skylarkfold/affinity/_settings.py
+++ b/skylarkfold/affinity/_settings.py
@@ -75,6 +75,11 @@
         the same within 0.002.
     :param follows_evacuations: whether availability zones may be evacuated
         here; an instance is then not ready before it knows which are.
+    :param limits_warm_up: whether first packets to an upstream that warms up
+        are bounded.
+    :param warm_up_factor: by how much they may exceed, in any second, what
+        its service is said to bear then.
+    :param warm_up_slack: and how many more they may be.
     :param near_tolerance: an upstream in this zone is preferred until its
         load is above the mean by this share. In the model, with one of
         three zones calling six times as often, 0.05 to 0.2 earn the same
@@ -95,6 +100,7 @@
         'haste_weight',
         'lapsed_seconds',
         'length_weight',
+        'limits_warm_up',
         'load_seconds',
         'longest_patience_seconds',
         'longest_wait_seconds',
@@ -109,6 +115,8 @@
         'repeat_seconds',
         'return_seconds',
         'verdict_seconds',
+        'warm_up_factor',
+        'warm_up_slack',
         'zone_failures',
     )
 
@@ -142,6 +150,9 @@
         haste_weight: float = 8.0,
         near_tolerance: float = 0.1,
         follows_evacuations: bool = False,
+        limits_warm_up: bool = False,
+        warm_up_factor: float = 1.0,
+        warm_up_slack: float = 0.0,
     ) -> None:
         self.open_patience_seconds = open_patience_seconds
         self.open_tries = open_tries
@@ -171,3 +182,6 @@
         self.haste_weight = haste_weight
         self.near_tolerance = near_tolerance
         self.follows_evacuations = follows_evacuations
+        self.limits_warm_up = limits_warm_up
+        self.warm_up_factor = warm_up_factor
+        self.warm_up_slack = warm_up_slack
--- /dev/null
+++ b/skylarkfold/affinity/_slowness.py
@@ -0,0 +1,40 @@
+"""How slow upstreams are while they warm up."""
+
+from __future__ import annotations
+
+# Taken before any answer is known: half of the slots, so that one that is
+# sent too much at first is not late for all of its start.
+_FIRST_SLOWNESS = 2.0
+# 0.5 is learnt from some fifteen answers.
+_SLOWNESS_STEP = 1.05
+# Beyond this an upstream is taken for out of order, not slow.
+_MOST_SLOWNESS = 10.0
+
+
+class Slowness:
+    """How much longer requests take while upstreams of a service warm up.
+
+    Learnt from answers: how long one takes beside what others of its route
+    take.
+
+    :ivar share: of its slots that one counts for meanwhile.
+    """
+
+    __slots__ = ('_times', 'share')
+
+    def __init__(self) -> None:
+        self._times = _FIRST_SLOWNESS
+        self.share = 1 / self._times
+
+    def note(self, times: float) -> None:
+        """Take an answer of one that warms up.
+
+        :param times: how long it took, as a multiple of the usual time.
+        """
+        # Towards the median, as single requests differ by their work.
+        if times > self._times:
+            self._times *= _SLOWNESS_STEP
+        elif times < self._times:
+            self._times /= _SLOWNESS_STEP
+        self._times = min(max(self._times, 1.0), _MOST_SLOWNESS)
+        self.share = 1 / self._times
--- a/skylarkfold/affinity/_standing.py
+++ b/skylarkfold/affinity/_standing.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+import collections
+
 from skylarkfold.affinity import _settings
+from skylarkfold.affinity import _slowness
 from skylarkfold.affinity import _upstream
 
 _NEVER = float('-inf')
-# An upstream that is still slow from its start counts for so much of its
-# slots: requests take 1.6 times as long then.
-_SLOW_SHARE = 0.6
 # What one answer more counts in the share of those that came too soon: the
 # last sixteen are most of it.
 _HASTE_GAIN = 1 / 16
@@ -27,6 +27,7 @@
 
     :param upstream: its entry, replaced as it changes.
     :param now: the time.
+    :param slowness: of its service's upstreams while they warm up.
     :ivar flows: flows of it that this instance carries.
     :ivar remote_flows: flows of it that peers carry.
     :ivar busy: requests that it has from flows of this instance.
@@ -56,6 +57,9 @@
     :ivar probe_due: when it may be probed again.
     :ivar is_probing: whether a probe is under way.
     :ivar avoided_until: until when others go before it.
+    :ivar warming_until: until when it is slow from its start.
+    :ivar settled_at: until when it is taken to be so in any case.
+    :ivar openings: when it was sent first packets meanwhile, of late.
     """
 
     __slots__ = (
@@ -81,19 +85,28 @@
         'is_proven',
         'is_replaced',
         'lapsed_at',
+        'openings',
         'outcome',
         'present_at',
         'probe_due',
         'probed_at',
         'remote_busy',
         'remote_flows',
+        'settled_at',
         'silent_since',
-        'slow_until',
+        'slowness',
         'upstream',
+        'warming_until',
     )
 
-    def __init__(self, upstream: _upstream.Upstream, now: float) -> None:
+    def __init__(
+        self,
+        upstream: _upstream.Upstream,
+        now: float,
+        slowness: _slowness.Slowness | None = None,
+    ) -> None:
         self.upstream = upstream
+        self.slowness = slowness or _slowness.Slowness()
         self.flows = 0
         self.remote_flows = 0
         self.busy = 0
@@ -123,7 +136,29 @@
         self.probe_due = _NEVER
         self.is_probing = False
         self.avoided_until = _NEVER
-        self.slow_until = now + upstream.slow_seconds
+        self.settled_at = _NEVER
+        self.warming_until = now + upstream.warm_up_seconds
+        self.openings: collections.deque[float] = collections.deque()
+
+    def take_entry(self, now: float, upstream: _upstream.Upstream) -> None:
+        """Take a later form of its entry.
+
+        :param now: the time.
+        :param upstream: what it says; with it how much longer it warms up,
+            which may begin anew.
+        """
+        self.upstream = upstream
+        until = now + upstream.warm_up_seconds
+        self.warming_until = max(until, self.settled_at)
+
+    def expect_warm_up(self, now: float, seconds: float) -> None:
+        """Take that it is idle and may be slow, before its entry says so.
+
+        :param now: the time.
+        :param seconds: for how long.
+        """
+        self.settled_at = now + seconds
+        self.warming_until = max(self.warming_until, self.settled_at)
 
     def compute_capacity(self, now: float) -> float:
         """Compute how much work it takes relative to others.
@@ -132,8 +167,8 @@
         :returns: its slots, fewer while it is slow from its start.
         """
         slots = max(1, self.upstream.slots)
-        if now < self.slow_until:
-            return slots * _SLOW_SHARE
+        if now < self.warming_until:
+            return slots * self.slowness.share
         return float(slots)
 
     def note_haste(self, is_hasty: bool) -> None:
--- a/skylarkfold/affinity/_upstream.py
+++ b/skylarkfold/affinity/_upstream.py
@@ -19,7 +19,7 @@
     :param zone: its availability zone.
     :param slots: requests that it runs at the same time.
     :param is_draining: whether it takes no new flow.
-    :param slow_seconds: how much longer it was slow from its start when
+    :param warm_up_seconds: how much longer it was slow from its start when
         that was said.
     :param created: the store's revision at which its entry was created.
     :param revision: the store's revision of its entry in this form.
@@ -40,7 +40,7 @@
         'revision',
         'service',
         'slots',
-        'slow_seconds',
+        'warm_up_seconds',
         'zone',
     )
 
@@ -53,7 +53,7 @@
         zone: str,
         slots: int = 1,
         is_draining: bool = False,
-        slow_seconds: float = 0.0,
+        warm_up_seconds: float = 0.0,
         created: int = 0,
         revision: int = 0,
         born: int | None = None,
@@ -65,7 +65,7 @@
         self.zone = zone
         self.slots = slots
         self.is_draining = is_draining
-        self.slow_seconds = slow_seconds
+        self.warm_up_seconds = warm_up_seconds
         self.created = created
         self.revision = revision
         self.born = born
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -66,6 +66,10 @@
         own.affinity.flow_seconds = settings.flow_seconds
         is_evacuated = settings.evacuation_seconds is not None
         own.affinity.follows_evacuations = is_evacuated
+        if settings.warm_up_slack is not None:
+            own.affinity.limits_warm_up = True
+            own.affinity.warm_up_factor = settings.warm_up_factor
+            own.affinity.warm_up_slack = settings.warm_up_slack
         self._knowledge = _knowledge.Knowledge(platform, settings)
         own.relay.topics = self._knowledge.topics
         own.relay.shared_topics = self._knowledge.shared_topics
@@ -340,8 +344,10 @@
         self._affinity.take_load(now, wanted.source, wanted.loads)
 
     def _tell_load(self) -> None:
-        loads = self._affinity.list_loads(self._loop.now())
-        self._relay.set_loads(loads)
+        now = self._loop.now()
+        self._relay.set_loads(self._affinity.list_loads(now))
+        mates = self._relay.peers.list_mates()
+        self._affinity.set_mates(now, self._settings.name, mates)
 
     def _note(self, wanted: relay.Note) -> None:
         self.count(f'{_metrics.RELAY}.{wanted.reason}')
--- a/skylarkfold/machine.py
+++ b/skylarkfold/machine.py
@@ -42,6 +42,10 @@
     :param zones: all availability zones.
     :param evacuation_seconds: how soon an evacuation of one must be in force;
         None where zones are not evacuated.
+    :param warm_up_factor: by how much requests to an upstream that warms up
+        may exceed what its service is said to bear, in any second.
+    :param warm_up_slack: and how many more they may be; None where they are
+        not bounded.
     """
 
     __slots__ = (
@@ -56,6 +60,8 @@
         'ready_address',
         'seeds',
         'store_address',
+        'warm_up_factor',
+        'warm_up_slack',
         'zone',
         'zones',
     )
@@ -75,6 +81,8 @@
         flow_seconds: float,
         zones: tuple[str, ...] = (),
         evacuation_seconds: float | None = None,
+        warm_up_factor: float = 1.0,
+        warm_up_slack: float | None = None,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -89,6 +97,8 @@
         self.flow_seconds = flow_seconds
         self.zones = zones
         self.evacuation_seconds = evacuation_seconds
+        self.warm_up_factor = warm_up_factor
+        self.warm_up_slack = warm_up_slack
 
     @property
     def capacity(self) -> int:
@@ -195,6 +205,8 @@
         flow_seconds=section.get_number('flow_seconds', _FLOW_SECONDS),
         zones=section.get_texts('zones'),
         evacuation_seconds=section.get_seconds('evacuation_ms'),
+        warm_up_factor=section.get_number('warm_up_factor', 1.0),
+        warm_up_slack=section.find_number('warm_up_slack'),
     )
 
 
@@ -221,11 +233,16 @@
             raise self._complain(name, f'{value} is out of range')
         return float(value)
 
-    def get_seconds(self, name: str) -> float | None:
-        """Read a number of milliseconds; None where there is none."""
+    def find_number(self, name: str) -> float | None:
+        """Read a number; None where there is none."""
         if name not in self._fields:
             return None
-        return self.get_number(name, 0.0) / 1000
+        return self.get_number(name, 0.0)
+
+    def get_seconds(self, name: str) -> float | None:
+        """Read a number of milliseconds; None where there is none."""
+        milliseconds = self.find_number(name)
+        return None if milliseconds is None else milliseconds / 1000
 
     def get_texts(self, name: str) -> tuple[str, ...]:
         values = self._fields.get(name, [])
--- a/skylarkfold/platform/_objects.py
+++ b/skylarkfold/platform/_objects.py
@@ -32,6 +32,8 @@
 # still: a million requests at a time, an hour of slowness.
 _MOST_SLOTS = 1 << 20
 _MOST_WARMUP_MS = 3_600_000
+_MOST_WARMUP_S = _MOST_WARMUP_MS / 1000
+_MOST_RATE = 1e6
 _MOST_COUNT = (1 << 62) - 1
 _MOST_WEIGHT = 1 << 20
 _MOST_PRIORITY = 1 << 20
@@ -153,7 +155,7 @@
         # Requests at a time, not connections.
         slots=fields.get_count('max_concurrency', 1, _MOST_SLOTS),
         is_draining=state == _DRAINING,
-        slow_seconds=fields.get_seconds('warmup_left_ms', _MOST_WARMUP_MS),
+        warm_up_seconds=fields.get_seconds('warmup_left_ms', _MOST_WARMUP_MS),
         created=item.created,
         revision=item.revision,
         born=born,
@@ -211,9 +213,12 @@
             if route is not None
         ]
         services = {name for route in routes for name, _ in route.shares}
-        services.update(self._read_services(fields))
+        warm_ups = dict(self._read_services(fields))
+        services.update(warm_ups)
         idle_seconds = self._read_idle_seconds(fields)
-        return affinity.RouteTable(version, routes, idle_seconds, services)
+        return affinity.RouteTable(
+            version, routes, idle_seconds, services, warm_ups
+        )
 
     def _read_route(self, value: object) -> affinity.Route | None:
         try:
@@ -222,7 +227,9 @@
             self._complain(_complaints.ROUTE, error)
             return None
 
-    def _read_services(self, fields: _fields.Fields) -> Iterable[str]:
+    def _read_services(
+        self, fields: _fields.Fields
+    ) -> Iterable[tuple[str, affinity.WarmUp]]:
         try:
             values = fields.get_list('services')
         except errors.DecodeError as error:
@@ -230,10 +237,28 @@
             return
         for value in values:
             try:
-                yield _fields.Fields(value).get_text('name')
+                service = _fields.Fields(value)
+                name = service.get_text('name')
+                yield name, self._read_warm_up(service)
             except errors.DecodeError as error:
                 self._complain(_complaints.ROUTES, error)
 
+    def _read_warm_up(self, service: _fields.Fields) -> affinity.WarmUp:
+        seconds = self._read_number(service, 'warmup_s', _MOST_WARMUP_S)
+        per_second = self._read_number(service, 'warmup_per_s', _MOST_RATE)
+        return affinity.WarmUp(seconds, per_second)
+
+    def _read_number(
+        self, fields: _fields.Fields, name: str, most: float
+    ) -> float:
+        if not fields.has(name):
+            return 0.0
+        try:
+            return fields.get_number(name, most)
+        except errors.DecodeError as error:
+            self._complain(_complaints.ROUTES, error)
+            return 0.0
+
     def _read_idle_seconds(self, fields: _fields.Fields) -> float:
         try:
             limits = fields.get_fields('limits')
--- a/skylarkfold/relay/_peers.py
+++ b/skylarkfold/relay/_peers.py
@@ -241,6 +241,17 @@
             if (self.members[name].zone == self._own.zone) == is_near
         ]
 
+    def list_mates(self) -> list[str]:
+        """List the other instances of this zone, silent ones included.
+
+        :returns: their names.
+        """
+        return [
+            peer.name
+            for peer in self.members.values()
+            if peer.zone == self._own.zone and peer is not self._own
+        ]
+
     def may_leave(self, now: float) -> bool:
         """Tell whether enough others of the zone take callers' packets.
 
--- a/skylarkfold/tests/affinity/test_admission.py
+++ b/skylarkfold/tests/affinity/test_admission.py
@@ -92,7 +92,7 @@
 
     def test_one_that_is_slow_from_its_start_takes_less(self):
         standing = build_standing(4)
-        standing.slow_until = 1.0
+        standing.warming_until = 1.0
         refused = count_refused(build_admission(), standing)
         self.assertEqual(FLOWS, refused)
 
--- a/skylarkfold/tests/affinity/test_placement.py
+++ b/skylarkfold/tests/affinity/test_placement.py
@@ -7,6 +7,7 @@
 from skylarkfold import affinity
 from skylarkfold.affinity import _placement
 from skylarkfold.affinity import _standing
+from skylarkfold.affinity import _warm_up
 from skylarkfold.tests.affinity import samples
 
 # Upstreams and callers' flows by zone: one zone has more of the flows than
@@ -19,6 +20,7 @@
     def setUp(self):
         super().setUp()
         self.settings = affinity.AffinitySettings()
+        self.limit = _warm_up.WarmUpLimit('a', self.settings)
         self.standings = []
         for zone, count in UPSTREAMS.items():
             for _ in range(count):
@@ -30,7 +32,7 @@
     def place(self, zone, port):
         hashed = _placement.hash_flow(samples.build_flow(port))
         chosen = _placement.choose_upstream(
-            0.0, self.standings, zone, hashed, (), self.settings
+            0.0, self.standings, zone, hashed, (), self.settings, self.limit
         )
         chosen.flows += 1
         return chosen
--- a/skylarkfold/tests/platform/test_objects.py
+++ b/skylarkfold/tests/platform/test_objects.py
@@ -95,7 +95,7 @@
         self.assertEqual(0x7F3A91C2, upstream.number)
         self.assertEqual(('10.128.0.9', 8080), upstream.address)
         self.assertEqual(3, upstream.slots)
-        self.assertEqual(2.0, upstream.slow_seconds)
+        self.assertEqual(2.0, upstream.warm_up_seconds)
         self.assertFalse(upstream.is_draining)
 
     def test_only_what_has_changed_is_read_again(self):
