Model: zones that are emptied, lost or come back cold; releases of many

Cause: the model of heavy load knew no zone as a whole, no swing, and only the aims of the first users.

Change: three troubles and five patterns with their grounds: a zone emptied under a swing, the same in a burst, its upstreams back cold in a burst, a zone without power, six of nine replaced within two seconds. Callers of a zone without instances go to others', as routers do. Reports go over kept flows there, and aims are a quarter of a second.

Emptying a zone over a share of the bound in place of at once, the other way that was weighed, has nothing to win here: open flows stay, so that work moves little by little in any case.

--- a/skylarkfold/measure/_overload_fleet.py
+++ b/skylarkfold/measure/_overload_fleet.py
@@ -112,7 +112,36 @@
 
     def start_all(self) -> None:
         """Start all instances, which know nothing of earlier flows."""
+        self._start(self.instances)
+
+    def stop_zone(self, zone: str) -> None:
+        """End the instances of a zone.
+
+        :param zone: the zone.
+        """
         for each in self.instances:
+            if each.zone == zone:
+                each.core = None
+
+    def start_zone(self, zone: str) -> None:
+        """Start the instances of a zone anew.
+
+        :param zone: the zone.
+        """
+        self._start([each for each in self.instances if each.zone == zone])
+
+    def evacuate(self, evacuations: affinity.Evacuations) -> None:
+        """Have all instances take which zones are evacuated.
+
+        :param evacuations: all of them.
+        """
+        now = self.clock.now
+        for each in self._list_up():
+            effects = each.core.set_evacuations(now, evacuations)
+            self._perform(each, effects)
+
+    def _start(self, instances: list[Instance]) -> None:
+        for each in instances:
             each.core = self._policy.build(each.zone)
             routes = [
                 affinity.Route(
@@ -183,7 +212,9 @@
     def _decide(
         self, flow: _overload_callers.CallerFlow, packet: affinity.Packet
     ) -> None:
-        near = [each for each in self._list_up() if each.zone == flow.zone]
+        up = self._list_up()
+        # Routers use other zones' instances where a zone has none.
+        near = [each for each in up if each.zone == flow.zone] or up
         if not near:
             return
         instance = near[zlib.crc32(flow.key) % len(near)]
--- a/skylarkfold/measure/_overload_pattern.py
+++ b/skylarkfold/measure/_overload_pattern.py
@@ -84,10 +84,14 @@
     ERRORS = 'errors'
     JOIN = 'join'
     RELEASE = 'release'
+    COLD_RETURN = 'cold-return'
     # Callers and instances.
     BURST = 'burst'
     CUT = 'cut'
     OUTAGE = 'outage'
+    # Availability zones.
+    EVACUATE = 'evacuate'
+    LOSS = 'loss'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,7 +102,8 @@
     :param at: when it begins, in seconds.
     :param seconds: how long it lasts.
     :param times: of a burst the rate, of slow upstreams the time that work
-        takes, each as a multiple; of failing ones the share of requests.
+        takes, each as a multiple; of failing ones the share of requests; of
+        a release how many are replaced in a second.
     :param count: upstreams that it strikes or that join.
     :param zone: only callers or upstreams of this zone; empty for all.
     :param kind: only requests of this kind; empty for all.
@@ -125,6 +130,8 @@
     :param instances: how many; zones take turns.
     :param retries: further tries of a caller.
     :param retry_seconds: its pause before each.
+    :param swing: by which share the rate of each zone rises and falls, each
+        at another time.
     """
 
     name: str
@@ -135,6 +142,7 @@
     instances: int = 7
     retries: int = 2
     retry_seconds: float = 0.002
+    swing: float = 0.0
 
     @property
     def began_at(self) -> float:
@@ -148,6 +156,19 @@
         return max(ends, default=SECONDS)
 
 
+# Of another user, later: the same work, an aim of a quarter of a second, and
+# reports that go over flows that callers keep open, too.
+_POOLED_KINDS = (
+    Kind(LIVE, 443, 146.0, 0.022, 0.25, 1.5, 1, 0.3, 2, True, True, 200, 1000),
+    Kind(
+        REPORT, 8443, 72.0, 0.029, 0.3, 1.5, 2, 0.6, 1, True, False, 900, 600
+    ),
+)
+# Three upstreams in each zone, so that two zones can bear the third's load.
+_EVEN_SLOTS = (2,) * 9
+_SWING = 0.27
+
+
 def _burst(times: float, **fields: object) -> Trouble:
     return Trouble(Change.BURST, times=times, **fields)
 
@@ -271,6 +292,62 @@
         'could take at rest only',
         (_burst(2.0), Trouble(Change.CUT, zone=ZONES[1])),
     ),
+    Pattern(
+        'evacuated',
+        'a zone is emptied at 29% of all slots while zones swing by 27%, as '
+        'users measured theirs; two thirds of the slots can bear it, and the '
+        'zone is taken back cold',
+        (Trouble(Change.EVACUATE, zone=ZONES[0], seconds=5.0),),
+        kinds=_POOLED_KINDS,
+        slots=_EVEN_SLOTS,
+        instances=9,
+        swing=_SWING,
+    ),
+    Pattern(
+        'evacuated-burst',
+        'the same in a burst of 2 that takes 89% of the slots that are left',
+        (
+            Trouble(Change.EVACUATE, zone=ZONES[0], seconds=5.0),
+            _burst(2.0, at=TROUBLE_AT + 1.0, seconds=5.0),
+        ),
+        kinds=_POOLED_KINDS,
+        slots=_EVEN_SLOTS,
+        instances=9,
+        swing=_SWING,
+    ),
+    Pattern(
+        'zone-cold',
+        'the upstreams of a zone end and are back cold after 4 s, in a burst '
+        'of 1.7 that takes 76% of the slots that are left',
+        (
+            Trouble(Change.COLD_RETURN, zone=ZONES[0], seconds=4.0),
+            _burst(1.7, at=TROUBLE_AT + 2.0, seconds=5.0),
+        ),
+        kinds=_POOLED_KINDS,
+        slots=_EVEN_SLOTS,
+        instances=9,
+        swing=_SWING,
+    ),
+    Pattern(
+        'zone-lost',
+        'a zone loses power, upstreams and instances at once, and is back '
+        'cold after 4 s',
+        (Trouble(Change.LOSS, zone=ZONES[0], seconds=4.0),),
+        kinds=_POOLED_KINDS,
+        slots=_EVEN_SLOTS,
+        instances=9,
+        swing=_SWING,
+    ),
+    Pattern(
+        'release-many',
+        'a release that replaces six of nine within two seconds, the new '
+        'ones cold, in a burst that takes 73% of all slots',
+        (_burst(2.5), Trouble(Change.RELEASE, count=6, times=3.0)),
+        kinds=_POOLED_KINDS,
+        slots=_EVEN_SLOTS,
+        instances=9,
+        swing=_SWING,
+    ),
     Pattern(
         'unequal',
         'upstreams of one to four slots, as on a site that was bought in '
--- a/skylarkfold/measure/_overload_random.py
+++ b/skylarkfold/measure/_overload_random.py
@@ -21,6 +21,7 @@
 
     def __init__(self) -> None:
         self._upstreams: dict[int, affinity.Upstream] = {}
+        self._evacuations = affinity.Evacuations()
 
     def set_routes(self, now: float, routes: affinity.RouteTable) -> list:
         """Take routes; all lead to the one service."""
@@ -34,6 +35,13 @@
             self._upstreams[each.token] = each
         return []
 
+    def set_evacuations(
+        self, now: float, evacuations: affinity.Evacuations
+    ) -> list:
+        """Take which zones are evacuated."""
+        self._evacuations = evacuations
+        return []
+
     def note_confirmed(self, now: float) -> None:
         """Take that the routes are up to date."""
 
@@ -55,7 +63,7 @@
             ready = [
                 each
                 for each in self._upstreams.values()
-                if not each.is_draining
+                if not each.is_draining and each.zone not in self._evacuations
             ]
             upstream = ready[zlib.crc32(packet.flow[::-1]) % len(ready)]
         if upstream is None:
--- a/skylarkfold/measure/_overload_trouble.py
+++ b/skylarkfold/measure/_overload_trouble.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from skylarkfold import affinity
 from skylarkfold.measure import _overload_fleet
 from skylarkfold.measure import _overload_pattern
 from skylarkfold.measure import _overload_upstream
@@ -14,6 +15,8 @@
 # One that is replaced leaves so long after its successor has come.
 _DRAIN_SECONDS = 3.0
 _RELEASE_PAUSE_SECONDS = 1.0
+# The entry of one that has ended is removed after three heartbeats.
+_LAPSE_SECONDS = 3.6
 # Of an upstream that joins.
 JOINING_SLOTS = 2
 
@@ -41,6 +44,9 @@
             Change.RELEASE: self._release,
             Change.CUT: self._cut,
             Change.OUTAGE: self._stop_all,
+            Change.COLD_RETURN: self._return_cold,
+            Change.EVACUATE: self._evacuate,
+            Change.LOSS: self._lose_zone,
         }
         for trouble in pattern.troubles:
             if trouble.change in self._beginners:
@@ -75,7 +81,7 @@
     def _release(self, trouble: Trouble) -> None:
         replaced = self._fleet.upstreams[: trouble.count]
         for number, each in enumerate(replaced):
-            pause = number * _RELEASE_PAUSE_SECONDS
+            pause = number * _RELEASE_PAUSE_SECONDS / trouble.times
             self._clock.call(pause, self._replace, each)
 
     def _replace(self, upstream: _overload_upstream.ModelUpstream) -> None:
@@ -97,6 +103,41 @@
         self._fleet.cut_zone = trouble.zone
         self._clock.call(trouble.seconds, setattr, self._fleet, 'cut_zone', '')
 
+    def _list_zone(self, zone: str) -> list[_overload_upstream.ModelUpstream]:
+        return [each for each in self._fleet.upstreams if each.zone == zone]
+
+    def _return_cold(self, trouble: Trouble) -> None:
+        upstreams = self._list_zone(trouble.zone)
+        for each in upstreams:
+            each.end()
+        lapse = min(_LAPSE_SECONDS, trouble.seconds)
+        self._clock.call(lapse, self._fleet.tell_upstreams)
+        self._clock.call(trouble.seconds, self._start_cold, upstreams)
+
+    def _start_cold(
+        self, upstreams: list[_overload_upstream.ModelUpstream]
+    ) -> None:
+        for each in upstreams:
+            each.is_gone = False
+            each.begin_cold()
+        self._tell_entries()
+
+    def _evacuate(self, trouble: Trouble) -> None:
+        evacuations = affinity.Evacuations({trouble.zone: 1})
+        self._clock.call(_ENTRY_SECONDS, self._fleet.evacuate, evacuations)
+        self._clock.call(trouble.seconds, self._take_back, trouble.zone)
+
+    def _take_back(self, zone: str) -> None:
+        for each in self._list_zone(zone):
+            each.begin_cold()
+        self._fleet.tell_upstreams()
+        self._fleet.evacuate(affinity.Evacuations())
+
+    def _lose_zone(self, trouble: Trouble) -> None:
+        self._return_cold(trouble)
+        self._fleet.stop_zone(trouble.zone)
+        self._clock.call(trouble.seconds, self._fleet.start_zone, trouble.zone)
+
     def _stop_all(self, trouble: Trouble) -> None:
         for each in self._fleet.instances:
             each.core = None
--- a/skylarkfold/measure/_overload_upstream.py
+++ b/skylarkfold/measure/_overload_upstream.py
@@ -103,6 +103,12 @@
         """Start: what it does takes longer for a while."""
         self._started_at = self._clock.now
 
+    def end(self) -> None:
+        """End: what it has is lost, and it answers nothing more."""
+        self.is_gone = True
+        self._queue.clear()
+        self._last.clear()
+
     @property
     def cold_left_seconds(self) -> float:
         """How much longer it is slow from its start."""
@@ -147,6 +153,8 @@
 
     def _end(self, flow: object, request: object) -> None:
         self._busy -= 1
+        if self.is_gone:
+            return
         self._answer(self, flow, request, Outcome.SERVED)
         if self._queue:
             self._begin(*self._queue.popleft())
--- a/skylarkfold/measure/overload.py
+++ b/skylarkfold/measure/overload.py
@@ -33,6 +33,10 @@
 _MOST_WORK_TIMES = 6.5
 # Callers by zone, and how much each zone's share of the load is.
 _CALLERS = (33, 26, 39)
+# What makes a zone's upstreams useless until it is over.
+_TAKES_ZONE = (Change.EVACUATE, Change.COLD_RETURN, Change.LOSS)
+# How often the load of a zone that swings rises and falls.
+_SWING_SECONDS = 11.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -216,7 +220,9 @@
         is_hit = each.kind in ('', kind) and each.zone in ('', zone)
         if each.change == Change.BURST and is_on and is_hit:
             times *= each.times
-    return times
+    place = _overload_pattern.ZONES.index(zone)
+    phase = now / _SWING_SECONDS + place / len(_overload_pattern.ZONES)
+    return times * (1 + pattern.swing * math.sin(2 * math.pi * phase))
 
 
 def _draw_work(draw: random.Random, kind: _overload_pattern.Kind) -> float:
@@ -267,13 +273,18 @@
     """
     began = pattern.began_at
     joined = []
+    lost = 0
     for each in pattern.troubles:
         if each.change == Change.OUTAGE:
             began = max(began, each.at + each.seconds)
         if each.change == Change.JOIN:
             slots = each.count * _overload_trouble.JOINING_SLOTS
             joined += [each.at] * slots
-    return [began] * sum(pattern.slots) + joined
+        if each.change in _TAKES_ZONE:
+            place = _overload_pattern.ZONES.index(each.zone)
+            lost = sum(pattern.slots[place :: len(_overload_pattern.ZONES)])
+            joined += [each.at + each.seconds] * lost
+    return [began] * (sum(pattern.slots) - lost) + joined
 
 
 def _compute_worth(requests: list[_overload_callers.Request]) -> float:
