--- a/skylarkfold/explain/_story.py
+++ b/skylarkfold/explain/_story.py
@@ -24,7 +24,7 @@
     'relay',
     'lines left out',
 )
-_KNOWLEDGE = ('routes',)
+_KNOWLEDGE = ('routes', 'evacuation')
 _UPSTREAM = ('upstream', 'health')
 
 
@@ -133,14 +133,14 @@
     instances: set[str],
     begin: float,
 ) -> list[Event]:
-    """Find the routes that each instance had when the flow began."""
-    last: dict[str, _line.Line] = {}
+    """Find what each instance had in force when the flow began."""
+    last: dict[tuple[str, str], _line.Line] = {}
     for line in lines:
         is_before = times[id(line)] <= begin
         if line.message in _KNOWLEDGE and is_before:
-            last[line.instance] = line
+            last[(line.instance, line.message)] = line
     return [
         Event(times[id(line)] - begin, line, False)
-        for name, line in last.items()
+        for (name, _), line in last.items()
         if name in instances
     ]
--- a/skylarkfold/explain/_timeline.py
+++ b/skylarkfold/explain/_timeline.py
@@ -17,6 +17,8 @@
 # Written all the time, whatever happens; of doubts, verdicts are told.
 _ORDINARY = frozenset({'open', 'known', 'counters', 'doubt'})
 _SHOWN_NAMES = 3
+# What a line may be about, the most particular first.
+_SUBJECTS = ('upstream', 'name', 'zone')
 
 
 class Entry:
@@ -28,7 +30,7 @@
     :ivar until: when the last was written.
     :ivar count: how many there are.
     :ivar instances: who wrote them.
-    :ivar subjects: the upstreams or dependencies that they name.
+    :ivar subjects: the upstreams, dependencies or zones that they name.
     """
 
     __slots__ = ('at', 'count', 'instances', 'kind', 'subjects', 'until')
@@ -50,9 +52,11 @@
         self.until = at
         self.count += 1
         self.instances[line.instance] = None
-        subject = line.get('upstream') or line.get('name')
-        if subject:
-            self.subjects[subject] = None
+        for field in _SUBJECTS:
+            subject = line.get(field)
+            if subject:
+                self.subjects[subject] = None
+                break
 
 
 def list_entries(lines: Iterable[_line.Line]) -> list[Entry]:
--- a/skylarkfold/soak/__main__.py
+++ b/skylarkfold/soak/__main__.py
@@ -24,6 +24,7 @@
     seconds: float = 20.0,
     planned: bool = False,
     restarts: bool = True,
+    evacuations: bool = True,
     keep: str = '',
 ) -> None:
     """Run some seeds, one after the other.
@@ -35,6 +36,7 @@
     :param planned: only planned work; nothing may fail then.
     :param restarts: upstreams also start again under their names, and other
         writers leave entries.
+    :param evacuations: zones are emptied and taken back.
     :param keep: a folder for settings and logs; one that is thrown away
         where left out.
     """
@@ -46,7 +48,9 @@
     for seed in chosen:
         with tempfile.TemporaryDirectory() as scratch:
             folder = pathlib.Path(keep or scratch)
-            result = soak.run_seed(seed, folder, seconds, planned, restarts)
+            result = soak.run_seed(
+                seed, folder, seconds, planned, restarts, evacuations
+            )
         word = 'broken' if result.broken else 'held'
         print(f'seed {seed}: {word}, {result.outcomes}', flush=True)
         if result.broken:
--- a/skylarkfold/soak/_instance.py
+++ b/skylarkfold/soak/_instance.py
@@ -53,15 +53,20 @@
         self._settings: tuple = ()
 
     def configure(
-        self, base_port: int, seeds: list[str], store: tuple[str, int]
+        self,
+        base_port: int,
+        seeds: list[str],
+        store: tuple[str, int],
+        zones: list[str],
     ) -> None:
         """Write its settings file.
 
         :param base_port: the first port that all instances use.
         :param seeds: hosts of others.
         :param store: the store's address.
+        :param zones: all availability zones.
         """
-        self._settings = (base_port, seeds, store)
+        self._settings = (base_port, seeds, store, zones)
         packets.write_settings(
             self._path, self.name, self.zone, self.host, *self._settings
         )
--- a/skylarkfold/soak/_judge.py
+++ b/skylarkfold/soak/_judge.py
@@ -10,6 +10,8 @@
 SHADOW_SECONDS = 4.0
 # A drained upstream gets no new flow after so long.
 DRAIN_SECONDS = 3.0
+# Nor does one of a zone that is evacuated.
+EVACUATION_SECONDS = 5.0
 
 
 class Judge:
@@ -27,6 +29,7 @@
         self._runs: collections.Counter[bytes] = collections.Counter()
         self._once: set[bytes] = set()
         self._drained: dict[str, float] = {}
+        self._evacuated: dict[str, float] = {}
         self._faults: list[tuple[float, float]] = []
         self._allowed: dict[tuple[str, int], set[str]] = {}
 
@@ -42,6 +45,17 @@
         """Note that the store has accepted a drain."""
         self._drained[name] = now
 
+    def note_evacuation(self, zone: str, now: float | None) -> None:
+        """Note that the store has accepted an evacuation, or its end.
+
+        :param zone: the zone.
+        :param now: the time; None for the end.
+        """
+        if now is None:
+            self._evacuated.pop(zone, None)
+        else:
+            self._evacuated.setdefault(zone, now)
+
     def note_once(self, request: bytes) -> None:
         """Note a request that may run once at most."""
         self._once.add(request)
@@ -54,14 +68,23 @@
 
     def note_open(self, upstream: packets.Upstream, now: float) -> None:
         """Note that a new flow has opened at an upstream."""
-        since = self._drained.get(upstream.name)
-        if since is None or self._is_shadowed(since, now):
-            return
-        if now - since > DRAIN_SECONDS:
+        drained_at = self._drained.get(upstream.name)
+        if self._is_late(drained_at, now, DRAIN_SECONDS):
             self.broken.append(
-                f'{upstream.name} got a flow {now - since:.1f} s after'
+                f'{upstream.name} got a flow {now - drained_at:.1f} s after'
                 ' its drain'
             )
+        emptied_at = self._evacuated.get(upstream.zone)
+        if self._is_late(emptied_at, now, EVACUATION_SECONDS):
+            self.broken.append(
+                f'{upstream.name} got a flow {now - emptied_at:.1f} s after'
+                ' its zone was evacuated'
+            )
+
+    def _is_late(self, since: float | None, now: float, bound: float) -> bool:
+        if since is None or self._is_shadowed(since, now):
+            return False
+        return now - since > bound
 
     def note_reset(self, now: float, upstream: packets.Upstream) -> None:
         """Note that an open flow got a reset from an instance."""
--- a/skylarkfold/soak/_plan.py
+++ b/skylarkfold/soak/_plan.py
@@ -42,6 +42,13 @@
     'entries-foreign',
 )
 
+# Drawn apart as well. Zones are emptied and taken back; other writers leave
+# entries of that kind.
+EVACUATIONS = (
+    'zone-evacuated',
+    'evacuations-foreign',
+)
+
 
 class Step:
     """One event.
@@ -89,6 +96,26 @@
     return sorted(steps, key=lambda step: step.at)
 
 
+def draw_evacuations(seed: int, seconds: float) -> list[Step]:
+    """Draw evacuations, several of which may overlap.
+
+    :param seed: the seed; the same one draws the same steps.
+    :param seconds: how long traffic lasts.
+    :returns: steps in order.
+    """
+    generator = random.Random(f'{seed}/evacuations')
+    steps = [
+        Step(
+            generator.uniform(0.5, 0.3 * seconds),
+            generator.choice(EVACUATIONS),
+            generator.uniform(0.2 * seconds, 0.5 * seconds),
+            generator.choice((0.4, 0.7)),
+        )
+        for _ in range(generator.randint(1, 3))
+    ]
+    return sorted(steps, key=lambda step: step.at)
+
+
 def draw_plan(seed: int, seconds: float, planned_only: bool) -> list[Step]:
     """Draw a plan.
 
--- a/skylarkfold/soak/_run.py
+++ b/skylarkfold/soak/_run.py
@@ -70,6 +70,7 @@
     seconds: float = 20.0,
     planned_only: bool = False,
     has_restarts: bool = False,
+    has_evacuations: bool = False,
 ) -> Result:
     """Run one seed.
 
@@ -80,11 +81,14 @@
         must be answered then.
     :param has_restarts: whether upstreams also start again under their
         names, and other writers leave entries.
+    :param has_evacuations: whether zones are emptied and taken back.
     :returns: what it showed.
     """
     plan = _plan.draw_plan(seed, seconds, planned_only)
     if has_restarts:
         plan += _plan.draw_restarts(seed, seconds)
+    if has_evacuations:
+        plan += _plan.draw_evacuations(seed, seconds)
     return run_plan(plan, seed, folder, seconds, planned_only)
 
 
@@ -194,6 +198,8 @@
                 step, step.seconds
             ),
             'entries-foreign': self._write_foreign,
+            'zone-evacuated': self._evacuate,
+            'evacuations-foreign': self._write_foreign_evacuations,
         }
 
     def perform(self, step: _plan.Step) -> None:
@@ -339,6 +345,18 @@
             )
         self._world.loop.call_later(step.seconds + _BEAT_SECONDS, clean)
 
+    def _evacuate(self, step: _plan.Step) -> None:
+        for zone in self._choose(self._world.zones, step.share):
+            self._world.evacuate(zone, step.seconds)
+
+    def _write_foreign_evacuations(self, step: _plan.Step) -> None:
+        """Have another writer leave entries that evacuate nothing."""
+        store = self._world.store
+        store.put('evacuations', 'nowhere', {})
+        for zone in self._world.zones:
+            if not store.has('evacuations', zone):
+                store.put('evacuations', zone, 'no map')
+
     def _reuse(self, step: _plan.Step) -> None:
         victim = self._choose_spare()
         if victim is None:
--- a/skylarkfold/soak/_world.py
+++ b/skylarkfold/soak/_world.py
@@ -89,7 +89,7 @@
                 self.loop, instance.host, self.server.address
             )
             self.ways[instance.host] = way
-            instance.configure(self._port, seeds, way.address)
+            instance.configure(self._port, seeds, way.address, self.zones)
             self.fabric.add(
                 instance.name,
                 instance.zone,
@@ -199,6 +199,20 @@
         self.judge.note_drain(upstream.name, self.loop.now())
         self.loop.call_later(_LEAVE_SECONDS, lambda: self._leave(upstream))
 
+    def evacuate(self, zone: str, seconds: float) -> None:
+        """Ask that a zone gets no new flow, and take it back.
+
+        :param zone: the zone.
+        :param seconds: how long it is evacuated.
+        """
+        self.store.put('evacuations', zone, {})
+        self.judge.note_evacuation(zone, self.loop.now())
+        self.loop.call_later(seconds, lambda: self._take_back(zone))
+
+    def _take_back(self, zone: str) -> None:
+        self.judge.note_evacuation(zone, None)
+        self.store.delete('evacuations', zone)
+
     def list_upstreams(self, service: str = '') -> list[packets.Upstream]:
         """List the upstreams that serve."""
         return [
--- a/skylarkfold/standin/packets/_objects.py
+++ b/skylarkfold/standin/packets/_objects.py
@@ -48,6 +48,15 @@
         objects[name] = written
         self._history.append((kind, written, False))
 
+    def has(self, kind: str, name: str) -> bool:
+        """Tell whether there is an object.
+
+        :param kind: its kind.
+        :param name: its name.
+        :returns: whether there is.
+        """
+        return name in self._objects.get(kind, {})
+
     def delete(self, kind: str, name: str) -> None:
         """Remove an object.
 
--- a/skylarkfold/tests/soak/test_soak.py
+++ b/skylarkfold/tests/soak/test_soak.py
@@ -17,7 +17,12 @@
 
 class SoakTest(testtools.TestCase):
     def run_seed(
-        self, seed, planned_only=False, seconds=SECONDS, has_restarts=False
+        self,
+        seed,
+        planned_only=False,
+        seconds=SECONDS,
+        has_restarts=False,
+        has_evacuations=False,
     ):
         with tempfile.TemporaryDirectory() as scratch:
             result = soak.run_seed(
@@ -26,6 +31,7 @@
                 seconds,
                 planned_only,
                 has_restarts,
+                has_evacuations,
             )
         self.assertEqual([], result.broken, f'{result.plan}')
         self.assertGreater(result.outcomes['answered'], 0)
@@ -57,6 +63,19 @@
         # the last configuration was in force nowhere.
         self.run_seed(161, seconds=LONG_SECONDS)
 
+    def test_evacuations_beside_faults_break_no_promise(self):
+        self.run_seed(4, seconds=LATE_SECONDS, has_evacuations=True)
+
+    def test_an_evacuation_fails_no_request(self):
+        plan = [_plan.Step(1.0, 'zone-evacuated', 8.0, 0.4)]
+        with tempfile.TemporaryDirectory() as scratch:
+            folder = pathlib.Path(scratch)
+            result = soak.run_plan(
+                plan, 2, folder, LATE_SECONDS, planned_only=True
+            )
+        self.assertEqual([], result.broken)
+        self.assertGreater(result.outcomes['answered'], 0)
+
     def test_the_same_seed_draws_the_same_plan(self):
         one = [repr(step) for step in soak.draw_plan(5, 20.0, False)]
         self.assertEqual(
@@ -76,3 +95,9 @@
             for step in _plan.draw_restarts(seed, 20.0)
         }
         self.assertEqual({*_plan.RESTARTS}, drawn)
+        drawn = {
+            step.kind
+            for seed in range(20)
+            for step in _plan.draw_evacuations(seed, 20.0)
+        }
+        self.assertEqual({*_plan.EVACUATIONS}, drawn)
