Health: a zone that is lost is probed by sample

Cause: a zone of which two upstreams are out of reach had all its upstreams doubted, each asked of peers and probed with a control, twice and then every 0.4 s, by every instance.

Change: those with flows here are probed one by one as before, since only that allows a reset, and four more to learn when the zone is back; all others get no new flow until their entries would have lapsed or they are heard. The same for one that a peer has found lost: whoever has no flow there passes it by.

Ruled out: a budget of probes alone; at 16 under way, each of 0.2 s, 1,000 upstreams would take 12 s.

--- a/skylarkfold/affinity/_settings.py
+++ b/skylarkfold/affinity/_settings.py
@@ -32,6 +32,9 @@
     :param zone_failures: upstreams of another zone that must be out of
         reach, while none of it is heard, before all of them are doubted.
         One is a crash as a rule, and its mates would be probed in vain.
+    :param zone_sample: of these, how many are probed that have no flow here.
+        Without a bound an instance has 1,990 probes under way at once when a
+        zone of 1,000 is lost.
     :param verdict_seconds: how long a failed probe allows resets. Longer
         than the pause, the probe and its time-out together.
     :param full_seconds: an upstream that takes connections but does not
@@ -118,6 +121,7 @@
         'warm_up_factor',
         'warm_up_slack',
         'zone_failures',
+        'zone_sample',
     )
 
     def __init__(
@@ -133,6 +137,7 @@
         probe_tries: int = 2,
         probe_pause_seconds: float = 0.4,
         zone_failures: int = 2,
+        zone_sample: int = 4,
         verdict_seconds: float = 1.0,
         full_seconds: float = 0.5,
         return_seconds: float = 4.5,
@@ -165,6 +170,7 @@
         self.probe_tries = probe_tries
         self.probe_pause_seconds = probe_pause_seconds
         self.zone_failures = zone_failures
+        self.zone_sample = zone_sample
         self.verdict_seconds = verdict_seconds
         self.return_seconds = return_seconds
         self.full_seconds = full_seconds
--- a/skylarkfold/affinity/_suspects.py
+++ b/skylarkfold/affinity/_suspects.py
@@ -96,7 +96,8 @@
     ) -> list[object]:
         """Take that a peer of this zone found an upstream out of reach.
 
-        It may be the peer's fault: this instance probes for itself.
+        It may be the peer's fault: this instance probes for itself, if it
+        has flows there.
 
         :param now: the time.
         :param standing: the upstream.
@@ -106,6 +107,9 @@
         is_known = standing.health != Health.GOOD or standing.is_replaced
         if is_known or standing.last_heard >= recent:
             return []
+        if not standing.flows:
+            self._avoid(standing, now)
+            return []
         standing.health = Health.DOUBTED
         standing.silent_since = max(recent, standing.last_heard)
         self._suspects[standing.upstream.name] = standing
@@ -200,7 +204,13 @@
     def _doubt_zone(
         self, now: float, failed: _standing.Standing
     ) -> list[object]:
-        """Doubt the others of a zone that seems to be cut off."""
+        """Doubt the others of a zone that seems to be cut off.
+
+        Those with flows here are probed, one by one, before anything is
+        reset, and a few more to find out when the zone is back. The rest, of
+        which there may be thousands, only get no new flow until their entries
+        have lapsed or something is heard of them.
+        """
         zone = failed.upstream.zone
         if zone == self._zone:
             return []
@@ -215,10 +225,20 @@
         if len(lost) < self._settings.zone_failures or is_heard:
             return []
         effects: list[object] = []
+        left = self._settings.zone_sample
         for each in mates:
+            if not each.flows and not left:
+                self._avoid(each, since)
+                continue
             effects += self.doubt(now, each, since)
+            left -= not each.flows
         return effects
 
+    def _avoid(self, standing: _standing.Standing, since: float) -> None:
+        """Have others go before an upstream until its entry would lapse."""
+        until = since + self._settings.return_seconds
+        standing.avoided_until = max(standing.avoided_until, until)
+
     def _is_answering(self, standing: _standing.Standing) -> bool:
         return standing.last_heard > standing.silent_since
 
