--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -389,6 +389,8 @@
             'ready': float(self._is_ready),
             'version': float(self._affinity.version),
             'upstreams': float(len(self._affinity.directory)),
+            'upstreams_evacuated': float(self._affinity.count_evacuated()),
+            'upstreams_warming': float(self._affinity.count_warming(now)),
             'flows': float(self._affinity.count_flows()),
             'busy': float(self._affinity.count_busy()),
             'peers': float(len(self._relay.peers.list_neighbours())),
--- a/skylarkfold/tests/affinity/test_evacuation.py
+++ b/skylarkfold/tests/affinity/test_evacuation.py
@@ -172,6 +172,12 @@
         self.core.set_evacuations(9.0, evacuate())
         self.assertIn(samples.ZONE, self.open_flows(9.0, range(50, 90)))
 
+    def test_upstreams_that_are_evacuated_are_counted(self):
+        self.core.set_evacuations(1.0, evacuate(*ZONES[:2]))
+        self.assertEqual(2 * EACH, self.core.count_evacuated())
+        self.core.set_evacuations(2.0, evacuate(ZONES[0]))
+        self.assertEqual(EACH, self.core.count_evacuated())
+
     def test_begin_and_end_are_said(self):
         begun = self.core.set_evacuations(1.0, evacuate(samples.ZONE))
         ended = self.core.set_evacuations(2.0, evacuate())
