Forwarder, relay: bounds, gauges and duties have modules of their own

Change: what the settings file bounds is taken in _own, present values are listed in _gauges, whose turn it is to call the store is told in _duty; counts of flows stand with the directory that they count.

--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -157,28 +157,6 @@
         """
         self._confirmed_at = max(self._confirmed_at, now)
 
-    def count_busy(self) -> int:
-        """Count the requests in flight of this instance's flows."""
-        return sum(standing.busy for standing in self._directory)
-
-    def count_flows(self) -> int:
-        """Count the flows that this instance carries."""
-        return sum(standing.flows for standing in self._directory)
-
-    def count_evacuated(self) -> int:
-        """Count the upstreams of zones that are evacuated."""
-        return sum(standing.is_evacuated for standing in self._directory)
-
-    def count_warming(self, now: float) -> int:
-        """Count the upstreams that warm up after a start.
-
-        :param now: the time.
-        :returns: how many there are.
-        """
-        return sum(
-            now < standing.warming_until for standing in self._directory
-        )
-
     def take_packet(self, now: float, packet: _packet.Packet) -> list[object]:
         """Decide on one packet of a caller.
 
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -10,6 +10,7 @@
 from skylarkfold import affinity
 from skylarkfold import errors
 from skylarkfold.forwarder import _departure
+from skylarkfold.forwarder import _gauges
 from skylarkfold.forwarder import _knowledge
 from skylarkfold.forwarder import _metrics
 from skylarkfold.forwarder import _own
@@ -63,14 +64,8 @@
     ) -> None:
         self._settings = settings
         self._file = file
-        own.affinity.flow_seconds = settings.flow_seconds
-        is_evacuated = settings.evacuation_seconds is not None
-        own.affinity.follows_evacuations = is_evacuated
-        if settings.warm_up_slack is not None:
-            own.affinity.limits_warm_up = True
-            own.affinity.warm_up_factor = settings.warm_up_factor
-            own.affinity.warm_up_slack = settings.warm_up_slack
         self._knowledge = _knowledge.Knowledge(platform, settings)
+        _own.take_machine(own, settings)
         own.relay.topics = self._knowledge.topics
         own.relay.shared_topics = self._knowledge.shared_topics
         self._platform = platform
@@ -381,25 +376,11 @@
         return (200, b'') if self._is_ready else (503, b'')
 
     def _show_metrics(self, _path: str) -> tuple[int, bytes]:
-        gauges = self._list_gauges(self._loop.now())
+        gauges = _gauges.list_gauges(
+            self._loop.now(), self._affinity, self._relay, self._is_ready
+        )
         return 200, self._reporter.format_metrics(self._affinity, gauges)
 
-    def _list_gauges(self, now: float) -> dict[str, float]:
-        gauges = {
-            'ready': float(self._is_ready),
-            'version': float(self._affinity.version),
-            'upstreams': float(len(self._affinity.directory)),
-            'upstreams_evacuated': float(self._affinity.count_evacuated()),
-            'upstreams_warming': float(self._affinity.count_warming(now)),
-            'flows': float(self._affinity.count_flows()),
-            'busy': float(self._affinity.count_busy()),
-            'peers': float(len(self._relay.peers.list_neighbours())),
-        }
-        for topic in self._knowledge.topics:
-            age = self._relay.compute_age(now, topic)
-            gauges[f'age_seconds_{topic}'] = -1.0 if age is None else age
-        return gauges
-
     def _flush(self) -> None:
         self._reporter.flush()
 
--- /dev/null
+++ b/skylarkfold/forwarder/_gauges.py
@@ -0,0 +1,40 @@
+"""Present values on the metrics address."""
+
+from __future__ import annotations
+
+from skylarkfold import affinity
+from skylarkfold import relay
+
+# For a topic that the store never confirmed.
+_NEVER = -1.0
+
+
+def list_gauges(
+    now: float,
+    core: affinity.AffinityCore,
+    relay_core: relay.RelayCore,
+    is_ready: bool,
+) -> dict[str, float]:
+    """List what the instance has and knows.
+
+    :param now: the time.
+    :param core: the decisions on flows.
+    :param relay_core: what the store holds.
+    :param is_ready: whether the instance takes new flows.
+    :returns: values by name.
+    """
+    directory = core.directory
+    gauges = {
+        'ready': float(is_ready),
+        'version': float(core.version),
+        'upstreams': float(len(directory)),
+        'upstreams_evacuated': float(directory.count_evacuated()),
+        'upstreams_warming': float(directory.count_warming(now)),
+        'flows': float(directory.count_flows()),
+        'busy': float(directory.count_busy()),
+        'peers': float(len(relay_core.peers.list_neighbours())),
+    }
+    for topic in relay_core.topics:
+        age = relay_core.compute_age(now, topic)
+        gauges[f'age_seconds_{topic}'] = _NEVER if age is None else age
+    return gauges
--- a/skylarkfold/forwarder/_own.py
+++ b/skylarkfold/forwarder/_own.py
@@ -11,6 +11,7 @@
 from skylarkfold import affinity
 from skylarkfold import errors
 from skylarkfold import files
+from skylarkfold import machine
 from skylarkfold import relay
 
 _COMMENT = '//'
@@ -86,6 +87,20 @@
     return parse_own_settings(text, path)
 
 
+def take_machine(own: OwnSettings, settings: machine.MachineSettings) -> None:
+    """Take the bounds that the platform's settings file names.
+
+    :param own: the settings to complete.
+    :param settings: what an instance is told of its machine.
+    """
+    limits = own.affinity
+    limits.flow_seconds = settings.flow_seconds
+    limits.follows_evacuations = settings.evacuation_seconds is not None
+    limits.limits_warm_up = settings.warm_up_slack is not None
+    limits.warm_up_factor = settings.warm_up_factor
+    limits.warm_up_slack = settings.warm_up_slack or 0.0
+
+
 def parse_own_settings(text: str, source: str) -> OwnSettings:
     """Read the settings from a text.
 
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -5,6 +5,7 @@
 from skylarkfold import backoff
 from skylarkfold.relay import _announcer
 from skylarkfold.relay import _call
+from skylarkfold.relay import _duty
 from skylarkfold.relay import _effect
 from skylarkfold.relay import _feed
 from skylarkfold.relay import _item
@@ -63,7 +64,7 @@
         self._announcer = _announcer.Announcer(
             self._own, self._peers, self._topics, settings
         )
-        self._started_at: float | None = None
+        self._duty = _duty.Duty(self._peers, self._topics, settings)
         self._ticked_at = _NEVER
         self._next_near = _NEVER
         self._next_far = _NEVER
@@ -85,6 +86,11 @@
         """Whether all topics are known."""
         return all(topic.is_complete for topic in self._topics)
 
+    @property
+    def topics(self) -> tuple[str, ...]:
+        """The topics that are kept."""
+        return tuple(self._by_name)
+
     def set_seeds(self, hosts: tuple[str, ...]) -> None:
         """Take the hosts where instances may be found.
 
@@ -125,8 +131,8 @@
         :returns: effects.
         """
         effects: list[object] = []
-        if self._started_at is None:
-            self._started_at = now
+        if self._duty.started_at is None:
+            self._duty.started_at = now
         elif now - self._ticked_at > self._settings.pause_seconds:
             effects += self._wake(now)
         self._ticked_at = now
@@ -299,34 +305,13 @@
         if self._own.is_leaving:
             return effects
         for topic in self._topics:
-            if topic.feed.is_calling or not self._must_call(now, topic):
+            if topic.feed.is_calling or not self._duty.must_call(now, topic):
                 continue
             call = topic.feed.call(now, topic.position)
             if call is not None:
                 effects.append(_effect.CallStore(call))
         return effects
 
-    def _must_call(self, now: float, topic: _topic.Topic) -> bool:
-        settings = self._settings
-        if not topic.is_complete:
-            if topic.fetching or self._started_at is None:
-                return False
-            return now - self._started_at >= settings.first_seconds
-        if not self.is_ready:
-            return False
-        if now - self._started_at < settings.duty_seconds:
-            return False
-        turn = self._peers.compute_rank()
-        if topic.is_shared:
-            turn = self._peers.compute_turn()
-        if turn < settings.watchers:
-            return True
-        age = topic.compute_age(now)
-        patience = settings.wait_seconds + settings.substitute_seconds
-        # One after the other, so that not all of them ask at once.
-        patience += settings.beacon_seconds * (turn - settings.watchers)
-        return age is None or age > patience
-
     def _take_news(
         self, now: float, host: str, beacon: _messages.Beacon
     ) -> list[object]:
--- a/skylarkfold/tests/affinity/test_evacuation.py
+++ b/skylarkfold/tests/affinity/test_evacuation.py
@@ -174,9 +174,9 @@
 
     def test_upstreams_that_are_evacuated_are_counted(self):
         self.core.set_evacuations(1.0, evacuate(*ZONES[:2]))
-        self.assertEqual(2 * EACH, self.core.count_evacuated())
+        self.assertEqual(2 * EACH, self.core.directory.count_evacuated())
         self.core.set_evacuations(2.0, evacuate(ZONES[0]))
-        self.assertEqual(EACH, self.core.count_evacuated())
+        self.assertEqual(EACH, self.core.directory.count_evacuated())
 
     def test_begin_and_end_are_said(self):
         begun = self.core.set_evacuations(1.0, evacuate(samples.ZONE))
--- a/skylarkfold/tests/affinity/test_restart.py
+++ b/skylarkfold/tests/affinity/test_restart.py
@@ -63,7 +63,7 @@
         self.assertEqual(0.0, standing.waiting)
         self.assertLess(standing.avoided_until, 1.0)
         self.assertLess(standing.last_heard, 0.0)
-        self.assertEqual(0, self.core.count_flows())
+        self.assertEqual(0, self.core.directory.count_flows())
 
     def test_a_lapse_of_the_start_before_does_not_hold(self):
         self.core.set_upstreams(1.0, [])
--- a/skylarkfold/tests/affinity/test_warm_up.py
+++ b/skylarkfold/tests/affinity/test_warm_up.py
@@ -191,8 +191,8 @@
         self.core.set_upstreams(SETTLED + 1.5, [first, second])
         standing = self.core.directory.get(first.name)
         self.assertEqual(SETTLED + 2.0, standing.warming_until)
-        self.assertEqual(1, self.core.count_warming(SETTLED + 1.9))
-        self.assertEqual(0, self.core.count_warming(SETTLED + 2.0))
+        self.assertEqual(1, self.core.directory.count_warming(SETTLED + 1.9))
+        self.assertEqual(0, self.core.directory.count_warming(SETTLED + 2.0))
 
     def test_a_zone_that_is_taken_back_is_met_over_a_while(self):
         self.set_upstreams(0.0, 0.0, 0.0)
