--- a/skylarkfold/report/__main__.py
+++ b/skylarkfold/report/__main__.py
@@ -13,12 +13,14 @@
 from skylarkfold.report import _plots
 from skylarkfold.report import _results
 from skylarkfold.report import _run
+from skylarkfold.report import _sweep
 
 DOCS = pathlib.Path('docs')
 RESULTS = DOCS / 'measures.json'
 PAGE = DOCS / 'MEASURES.md'
 CAPACITY = DOCS / 'CAPACITY.md'
 PLOTS = DOCS / 'plots'
+SWEEPS = DOCS / 'sweeps.json'
 
 
 def _write(results: _results.Results) -> None:
@@ -26,7 +28,8 @@
     _results.write_results(results, RESULTS)
     plots = _plots.write_plots(results, PLOTS, print)
     paths = {title: f'{PLOTS.name}/{name}' for title, name in plots.items()}
-    CAPACITY.write_text(_capacity_page.format_capacity(results))
+    sweeps = _sweep.read_sweeps(SWEEPS)
+    CAPACITY.write_text(_capacity_page.format_capacity(results, sweeps))
     PAGE.write_text(_page.format_page(results, paths))
 
 
--- a/skylarkfold/report/_capacity_page.py
+++ b/skylarkfold/report/_capacity_page.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from collections.abc import Sequence
 
 from skylarkfold.report import _capacity
 from skylarkfold.report import _figure
@@ -10,6 +11,7 @@
 from skylarkfold.report import _results
 from skylarkfold.report import _size
 from skylarkfold.report import _slopes
+from skylarkfold.report import _sweep
 
 HEADING = """\
 # Capacity
@@ -24,7 +26,7 @@
 size: by decision cores on a virtual clock, without sockets and TLS, or
 by one process on loopback. *Extrapolated* ones are worked out from a
 slope that was printed at a smaller size. Nothing here was run as 600
-processes.
+processes; what fleets of up to 300 showed on the users' bench stands last.
 """
 SIZE_TEXT = (
     '{nodes} nodes, {upstreams:,} upstreams, {addresses:,} addresses, '
@@ -40,16 +42,27 @@
 is reached at the size in the last column. Traffic for seconds of a
 storm is set beside the lasting budget: it passes it for those seconds.
 """
+SWEEPS = """\
+## Sweeps of the users' bench
+
+One day with real processes on fleets of three sizes, traffic and upstreams
+growing with them: config changes, a roll, machines that lose power, a zone
+that does, the end of all. The power is that of the busiest or longest by the
+number of instances; the last column carries it on and was not played.
+"""
 TABLE_HEAD = (
     '| figure | value | limit | basis | from | carried by |\n'
     '| --- | --- | --- | --- | --- | --- |'
 )
 
 
-def format_capacity(results: _results.Results) -> str:
+def format_capacity(
+    results: _results.Results, sweeps: Sequence[_sweep.Sweep] = ()
+) -> str:
     """Format the page.
 
     :param results: all results.
+    :param sweeps: of the users' bench.
     :returns: the page in Markdown.
     """
     size, budget = _size.Size(), _size.Budget()
@@ -66,9 +79,18 @@
     )
     parts = [heading, *_format_runs(results), *_format_roles(figures)]
     parts += _format_breaks(figures)
+    parts += _format_sweeps(sweeps)
     return '\n'.join(parts)
 
 
+def _format_sweeps(sweeps: Sequence[_sweep.Sweep]) -> Iterator[str]:
+    if not sweeps:
+        return
+    yield SWEEPS
+    for each in sweeps:
+        yield from _sweep.format_sweep(each)
+
+
 def _format_runs(results: _results.Results) -> Iterator[str]:
     yield '| measure | date (UTC) | commit | machine |'
     yield '| --- | --- | --- | --- |'
