--- a/skylarkfold/forwarder/__init__.py
+++ b/skylarkfold/forwarder/__init__.py
@@ -9,6 +9,7 @@
 from skylarkfold.forwarder._own import OwnSettings
 from skylarkfold.forwarder._own import parse_own_settings
 from skylarkfold.forwarder._own import read_own_settings
+from skylarkfold.forwarder._own import take_machine
 from skylarkfold.forwarder._platform import Platform
 from skylarkfold.forwarder._platform import Store
 
@@ -19,4 +20,5 @@
     'Store',
     'parse_own_settings',
     'read_own_settings',
+    'take_machine',
 ]
--- a/skylarkfold/tests/platform/test_settings.py
+++ b/skylarkfold/tests/platform/test_settings.py
@@ -9,6 +9,7 @@
 import testtools
 
 from skylarkfold import errors
+from skylarkfold import forwarder
 from skylarkfold import machine
 from skylarkfold.platform import check
 from skylarkfold.standin import packets
@@ -23,7 +24,13 @@
 def build_fields():
     """Build what the platform knows of an instance."""
     return packets.build_fields(
-        'one', 'a', '10.1.0.9', 7000, ['10.1.0.1', '10.1.0.2'], ('10.9.0.1', 9)
+        'one',
+        'a',
+        '10.1.0.9',
+        7000,
+        ['10.1.0.1', '10.1.0.2'],
+        ('10.9.0.1', 9),
+        ['a', 'b', 'c'],
     )
 
 
@@ -63,6 +70,31 @@
         self.assertEqual(60.0, settings.flow_seconds)
         self.assertEqual(1.0, settings.cores)
 
+    def test_zones_and_bounds_are_translated(self):
+        fields = build_fields()
+        fields['bounds'] = {
+            'evacuate_ms': 4000,
+            'cold_over': 1.5,
+            'cold_slack': 5,
+        }
+        settings = self.read(fields)
+        self.assertEqual(('a', 'b', 'c'), settings.zones)
+        self.assertEqual(4.0, settings.evacuation_seconds)
+        self.assertEqual(1.5, settings.warm_up_factor)
+        self.assertEqual(5.0, settings.warm_up_slack)
+
+    def test_what_is_not_bounded_is_not_followed(self):
+        fields = build_fields()
+        del fields['bounds'], fields['zones']
+        settings = self.read(fields)
+        self.assertEqual((), settings.zones)
+        self.assertIsNone(settings.evacuation_seconds)
+        self.assertIsNone(settings.warm_up_slack)
+        own = forwarder.OwnSettings()
+        forwarder.take_machine(own, settings)
+        self.assertFalse(own.affinity.follows_evacuations)
+        self.assertFalse(own.affinity.limits_warm_up)
+
     def test_a_machine_without_a_share_is_said(self):
         fields = build_fields()
         fields['limits'] = {'cpu_share': 0.25, 'cores': 2}
@@ -77,6 +109,9 @@
             'seeds': 'x',
             'core_share': 'much',
             'flow_seconds': -1,
+            'zones': [7],
+            'evacuation_ms': 'soon',
+            'warm_up_slack': -1,
         }
         for name, value in cases.items():
             error = self.assertRaises(
