Health: up to a zone of today's size, what is in doubt is probed as before

Change: one bound in place of two rules: while fewer than 32 upstreams are in doubt, all are probed as on; beyond that those with flows here, and the rest get no new flow. A zone of the largest of today's sites has 29 or 30 of 147, of this one 25.

Test: 74 probes under way at most before a zone of 1,000, 1,990 without a bound; the two tests of what a peer found lost now say both sides of the bound.

--- a/skylarkfold/affinity/_settings.py
+++ b/skylarkfold/affinity/_settings.py
@@ -32,7 +32,8 @@
     :param zone_failures: upstreams of another zone that must be out of
         reach, while none of it is heard, before all of them are doubted.
         One is a crash as a rule, and its mates would be probed in vain.
-    :param zone_sample: of these, how many are probed that have no flow here.
+    :param suspect_limit: upstreams in doubt at once beyond which those without
+        a flow here are not probed: more than a zone of the users' sites has.
         Without a bound an instance has 1,990 probes under way at once when a
         zone of 1,000 is lost.
     :param verdict_seconds: how long a failed probe allows resets. Longer
@@ -122,11 +123,11 @@
         'probe_tries',
         'repeat_seconds',
         'return_seconds',
+        'suspect_limit',
         'verdict_seconds',
         'warm_up_factor',
         'warm_up_slack',
         'zone_failures',
-        'zone_sample',
     )
 
     def __init__(
@@ -142,7 +143,7 @@
         probe_tries: int = 2,
         probe_pause_seconds: float = 0.4,
         zone_failures: int = 2,
-        zone_sample: int = 4,
+        suspect_limit: int = 32,
         verdict_seconds: float = 1.0,
         full_seconds: float = 0.5,
         return_seconds: float = 4.5,
@@ -176,7 +177,7 @@
         self.probe_tries = probe_tries
         self.probe_pause_seconds = probe_pause_seconds
         self.zone_failures = zone_failures
-        self.zone_sample = zone_sample
+        self.suspect_limit = suspect_limit
         self.verdict_seconds = verdict_seconds
         self.return_seconds = return_seconds
         self.full_seconds = full_seconds
--- a/skylarkfold/affinity/_suspects.py
+++ b/skylarkfold/affinity/_suspects.py
@@ -96,8 +96,8 @@
     ) -> list[object]:
         """Take that a peer of this zone found an upstream out of reach.
 
-        It may be the peer's fault: this instance probes for itself, if it
-        has flows there.
+        It may be the peer's fault: this instance probes for itself, and so
+        passes the word on.
 
         :param now: the time.
         :param standing: the upstream.
@@ -107,7 +107,7 @@
         is_known = standing.health != Health.GOOD or standing.is_replaced
         if is_known or standing.last_heard >= recent:
             return []
-        if not standing.flows:
+        if not self._is_worth_probing(standing):
             self._avoid(standing, now)
             return []
         standing.health = Health.DOUBTED
@@ -207,9 +207,9 @@
         """Doubt the others of a zone that seems to be cut off.
 
         Those with flows here are probed, one by one, before anything is
-        reset, and a few more to find out when the zone is back. The rest, of
-        which there may be thousands, only get no new flow until their entries
-        have lapsed or something is heard of them.
+        reset. Of the rest, of which there may be thousands, some are probed as
+        well; others only get no new flow until their entries have lapsed or
+        something is heard of them.
         """
         zone = failed.upstream.zone
         if zone == self._zone:
@@ -225,15 +225,17 @@
         if len(lost) < self._settings.zone_failures or is_heard:
             return []
         effects: list[object] = []
-        left = self._settings.zone_sample
         for each in mates:
-            if not each.flows and not left:
+            if self._is_worth_probing(each):
+                effects += self.doubt(now, each, since)
+            else:
                 self._avoid(each, since)
-                continue
-            effects += self.doubt(now, each, since)
-            left -= not each.flows
         return effects
 
+    def _is_worth_probing(self, standing: _standing.Standing) -> bool:
+        has_room = len(self._suspects) < self._settings.suspect_limit
+        return has_room or standing.flows > 0
+
     def _avoid(self, standing: _standing.Standing, since: float) -> None:
         """Have others go before an upstream until its entry would lapse."""
         until = since + self._settings.return_seconds
