--- a/skylarkfold/explain/_timeline.py
+++ b/skylarkfold/explain/_timeline.py
@@ -17,8 +17,8 @@
 # Written all the time, whatever happens; of doubts, verdicts are told.
 _ORDINARY = frozenset({'open', 'known', 'counters', 'doubt'})
 _SHOWN_NAMES = 3
-# What a line may be about, the most particular first.
-_SUBJECTS = ('upstream', 'name', 'zone')
+# Lines about a whole zone; others name theirs only beside their subject.
+_OF_ZONES = 'evacuation'
 
 
 class Entry:
@@ -52,11 +52,11 @@
         self.until = at
         self.count += 1
         self.instances[line.instance] = None
-        for field in _SUBJECTS:
-            subject = line.get(field)
-            if subject:
-                self.subjects[subject] = None
-                break
+        subject = line.get('upstream') or line.get('name')
+        if line.message == _OF_ZONES:
+            subject = line.get('zone')
+        if subject:
+            self.subjects[subject] = None
 
 
 def list_entries(lines: Iterable[_line.Line]) -> list[Entry]:
--- a/skylarkfold/tests/relay/test_shared.py
+++ b/skylarkfold/tests/relay/test_shared.py
@@ -13,6 +13,8 @@
 # How soon an evacuation must be in force.
 BOUND_SECONDS = 5.0
 REST_SECONDS = 30.0
+# After a start of all, by when each knows whose duty it is to watch.
+STARTED_SECONDS = 6.0
 WAIT_SECONDS = 3.0
 
 
@@ -57,7 +59,15 @@
 
         self.fleet.cut = is_cut
 
+    def test_a_start_costs_a_listing_each_and_a_watch_in_each_zone(self):
+        # The first watch begins 1.2 s after the start and brings its word
+        # after 4.2 s; the other zones' heads ask once when theirs is 4 s old.
+        self.fleet.run(STARTED_SECONDS - 3.0)
+        calls = self.fleet.store.calls[TOPIC]
+        self.assertLessEqual(calls, len(ZONES) + 2 + 2)
+
     def test_at_rest_one_instance_watches_for_all(self):
+        self.fleet.run(STARTED_SECONDS - 3.0)
         before = self.fleet.store.calls[TOPIC]
         self.fleet.run(REST_SECONDS)
         calls = self.fleet.store.calls[TOPIC] - before
