Relay, metrics: say when the store is older than what is known, and why not

Cause: of the two suspected causes of the incident, positions that go back and peers that vouch for one another, no line told which it was: a listing that was thrown away left no trace, nor did a position that moved by a peer's word.

The stand-in of the store on the virtual clock can go back to a copy.

--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -281,6 +281,7 @@
         self._reporter.log(
             'known',
             topic=wanted.topic,
+            since=wanted.base,
             revision=wanted.revision,
             source=wanted.source or 'store',
             within_ms=_to_ms(wanted.lag_seconds),
--- a/skylarkfold/measure/_relay_fleet.py
+++ b/skylarkfold/measure/_relay_fleet.py
@@ -4,6 +4,7 @@
 
 import collections
 from collections.abc import Callable
+import copy
 import heapq
 import itertools
 import time
@@ -18,6 +19,20 @@
 TICK_SECONDS = 0.01
 
 
+class StoreCopy:
+    """What a store held at one moment.
+
+    :param revision: the store's revision.
+    :param objects: its objects, by topic and path.
+    """
+
+    def __init__(
+        self, revision: int, objects: dict[str, dict[str, relay.Item]]
+    ) -> None:
+        self.revision = revision
+        self.objects = objects
+
+
 class FakeStore:
     """The store's objects with all their history.
 
@@ -53,6 +68,26 @@
         """Drop the history."""
         self.forgotten = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Copy all that is stored.
+
+        :returns: the copy.
+        """
+        return StoreCopy(self.revision, copy.deepcopy(self.objects))
+
+    def restore(self, saved: StoreCopy) -> None:
+        """Go back to a copy: what was written since is lost.
+
+        Revisions are given out again from where the copy ends.
+
+        :param saved: the copy.
+        """
+        self.revision = saved.revision
+        self.objects = copy.deepcopy(saved.objects)
+        self.history = [
+            each for each in self.history if each[1].revision <= self.revision
+        ]
+
     def list(self, topic: str) -> relay.Answer:
         """Answer a listing.
 
@@ -68,7 +103,7 @@
         :param call: the watch.
         :returns: the answer, None while there is nothing to say.
         """
-        if call.revision < self.forgotten:
+        if not self.forgotten <= call.revision <= self.revision:
             return relay.Answer(relay.Status.FORGOTTEN)
         newer = itertools.takewhile(
             lambda each: each[1].revision > call.revision,
@@ -93,6 +128,7 @@
     :ivar spent: processor seconds of each instance's decisions.
     :ivar written: when objects were last written, by topic and path.
     :ivar changes: what instances learnt, each with time and name.
+    :ivar notes: what instances noted, each with time and name.
     """
 
     def __init__(
@@ -109,6 +145,7 @@
         self.spent: collections.Counter[str] = collections.Counter()
         self.written: dict[tuple[str, str], float] = {}
         self.changes: list[tuple[float, str, relay.Changed]] = []
+        self.notes: list[tuple[float, str, relay.Note]] = []
         self.cut: Callable[[str, str], bool] = lambda one, other: False
         self.is_store_down = False
         # Calls that began before this time are never answered.
@@ -200,6 +237,8 @@
                 self._fetch(name, self.cores[name], wanted)
             elif isinstance(wanted, relay.Changed):
                 self.changes.append((self.now, name, wanted))
+            elif isinstance(wanted, relay.Note):
+                self.notes.append((self.now, name, wanted))
 
     def _decide(
         self,
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -114,6 +114,14 @@
         found = self._by_name[topic].shelf.list_after(0)
         return [each for each in found if each.value is not None]
 
+    def get_position(self, topic: str) -> int:
+        """Tell up to which revision of the store a topic is known.
+
+        :param topic: the topic.
+        :returns: the revision, 0 before the first listing.
+        """
+        return self._by_name[topic].position
+
     def compute_age(self, now: float, topic: str) -> float | None:
         """Compute how old the view of a topic may be.
 
@@ -169,7 +177,8 @@
             return self._ask(now)
         if news.revision < topic.position:
             # A peer was faster, or the store lags.
-            return self._ask(now)
+            return [*_note_behind(topic, news), *self._ask(now)]
+        topic.is_behind = False
         base = topic.position
         if news.is_listing:
             changed = topic.take_whole(news.items, news.revision)
@@ -333,10 +342,20 @@
         host: str,
         position: _messages.Position,
     ) -> list[object]:
+        effects: list[object] = []
         if position.revision > topic.position:
             if not topic.is_complete or position.changed > topic.position:
                 return self._fetch(now, topic, host)
             # Nothing that concerns the topic was written in between.
+            effects.append(
+                _effect.Note(
+                    'advanced',
+                    host=host,
+                    topic=topic.name,
+                    since=topic.position,
+                    revision=position.revision,
+                )
+            )
             topic.shelf.advance(position.revision)
         if (
             position.revision == topic.position
@@ -344,7 +363,7 @@
             and position.age_seconds is not None
         ):
             topic.confirm(now - position.age_seconds)
-        return []
+        return effects
 
     def _fetch(
         self, now: float, topic: _topic.Topic, host: str
@@ -387,6 +406,7 @@
                     source,
                     paths,
                     topic.compute_lag(now),
+                    base,
                 )
             )
         if changed and not is_first:
@@ -405,3 +425,18 @@
         ]
         note = _effect.Note('paused', paused_ms=paused)
         return [note, *self._announcer.approach(now, hosts)]
+
+
+def _note_behind(topic: _topic.Topic, news: _feed.News) -> list[object]:
+    """Tell that the store is older than what is known, once in a row."""
+    if topic.is_behind:
+        return []
+    topic.is_behind = True
+    return [
+        _effect.Note(
+            'store-behind',
+            topic=topic.name,
+            position=topic.position,
+            revision=news.revision,
+        )
+    ]
--- a/skylarkfold/relay/_effect.py
+++ b/skylarkfold/relay/_effect.py
@@ -59,9 +59,17 @@
     :param paths: the names of the objects that changed.
     :param lag_seconds: how long ago they were written at most, by when the
         store last confirmed what was known; None where it never did.
+    :param base: up to which revision they were known before.
     """
 
-    __slots__ = ('lag_seconds', 'paths', 'revision', 'source', 'topic')
+    __slots__ = (
+        'base',
+        'lag_seconds',
+        'paths',
+        'revision',
+        'source',
+        'topic',
+    )
 
     def __init__(
         self,
@@ -70,8 +78,10 @@
         source: str,
         paths: list[str],
         lag_seconds: float | None = None,
+        base: int = 0,
     ) -> None:
         self.topic = topic
+        self.base = base
         self.revision = revision
         self.source = source
         self.paths = paths
--- a/skylarkfold/relay/_topic.py
+++ b/skylarkfold/relay/_topic.py
@@ -25,6 +25,8 @@
     :ivar changed: the revision of the last change that is known.
     :ivar fetching: the host that is being asked, empty for none.
     :ivar fetch_until: when it is given up.
+    :ivar is_behind: whether the store's last listing was older than what is
+        known here.
     """
 
     __slots__ = (
@@ -33,6 +35,7 @@
         'feed',
         'fetch_until',
         'fetching',
+        'is_behind',
         'is_complete',
         'is_shared',
         'name',
@@ -55,6 +58,7 @@
         self.changed = 0
         self.fetching = ''
         self.fetch_until = _NEVER
+        self.is_behind = False
 
     @property
     def position(self) -> int:
--- /dev/null
+++ b/skylarkfold/tests/relay/test_notes.py
@@ -0,0 +1,67 @@
+"""Tests of the lines that tell why an instance knows what it knows."""
+
+import testtools
+
+from skylarkfold.measure import _relay_fleet as fleet_module
+
+ZONES = ('a', 'a', 'a', 'b')
+# After a start, by when only those whose duty it is watch the store.
+REST_SECONDS = 9.0
+
+
+class NotesTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = fleet_module.Fleet(ZONES)
+        self.fleet.store.put('routes', 'main', {'version': 1})
+        self.fleet.run(REST_SECONDS)
+
+    def list_notes(self, reason):
+        return [
+            (name, note.details)
+            for _, name, note in self.fleet.notes
+            if note.reason == reason
+        ]
+
+    def test_a_listing_that_is_older_than_what_is_known_is_said_once(self):
+        saved = self.fleet.store.copy()
+        for version in range(2, 9):
+            self.fleet.store.put('routes', 'main', {'version': version})
+        self.fleet.run(1.0)
+        self.assertEqual([], self.list_notes('store-behind'))
+        self.fleet.store.restore(saved)
+        self.fleet.run(4.0)
+        said = self.list_notes('store-behind')
+        names = [
+            name for name, details in said if details['topic'] == 'routes'
+        ]
+        self.assertEqual(sorted(set(names)), sorted(names))
+        self.assertNotEqual([], names)
+        for _, details in said:
+            self.assertLess(details['revision'], details['position'])
+
+    def test_a_position_that_a_peer_s_word_moves_is_said(self):
+        self.fleet.store.put('upstreams', 'one', {})
+        self.fleet.run(5.0)
+        moved = {
+            (name, details['topic'])
+            for name, details in self.list_notes('advanced')
+            if details['since'] < details['revision']
+        }
+        self.assertIn('routes', {topic for _, topic in moved})
+
+    def test_what_is_learnt_tells_from_where_to_where(self):
+        self.fleet.store.put('routes', 'main', {'version': 2})
+        self.fleet.run(1.0)
+        learnt = {
+            (each.base, each.revision)
+            for _, _, each in self.fleet.changes
+            if each.topic == 'routes' and each.base
+        }
+        self.assertEqual({(2, 3)}, learnt)
+
+    def test_positions_can_be_looked_up(self):
+        found = {
+            core.get_position('routes') for core in self.fleet.cores.values()
+        }
+        self.assertEqual({2}, found)
