Relay: what instances learn from one another has a module of its own

Change: `Exchange` compares views, takes news and pages and asks who is ahead. Nothing else: after a fetch that failed, the store is asked as after every other word of a peer, where that is due.

--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -7,6 +7,7 @@
 from skylarkfold.relay import _call
 from skylarkfold.relay import _duty
 from skylarkfold.relay import _effect
+from skylarkfold.relay import _exchange
 from skylarkfold.relay import _feed
 from skylarkfold.relay import _item
 from skylarkfold.relay import _messages
@@ -36,6 +37,7 @@
     :param settings: the relay's settings.
     :param capacity: what it has to spare; duties go to those first that
         have more of it.
+    :ivar take_fetch: answers a peer that is behind.
     """
 
     def __init__(
@@ -65,6 +67,10 @@
         self._announcer = _announcer.Announcer(
             self._own, self._peers, self._topics, settings
         )
+        self._exchange = _exchange.Exchange(
+            self._peers, self._announcer, self._topics, settings
+        )
+        self.take_fetch = self._exchange.take_fetch
         self._duty = _duty.Duty(self._peers, self._topics, settings)
         self._ticked_at = _NEVER
         self._next_near = _NEVER
@@ -186,7 +192,7 @@
         else:
             changed = topic.take_changes(news.items, news.revision)
         topic.confirm(now)
-        effects = self._spread(now, topic, base, changed, '')
+        effects = self._exchange.tell(now, topic, base, changed, '')
         return effects + self._ask(now)
 
     def take_beacon(
@@ -207,11 +213,11 @@
         peer = self._peers.hear(now, host, beacon)
         effects: list[object] = []
         if beacon.news is not None:
-            effects += self._take_news(now, host, beacon)
+            effects += self._exchange.take_news(now, host, beacon)
         for topic, position in zip(
             self._topics, beacon.positions, strict=True
         ):
-            effects += self._compare(now, topic, host, position)
+            effects += self._exchange.compare(now, topic, host, position)
         effects += self._announcer.take_loads(now, beacon)
         if beacon.doubts:
             effects.append(_effect.TellHeard(host, beacon.doubts))
@@ -226,23 +232,6 @@
             effects.append(_effect.SendBeacon([host], answer))
         return effects + self._ask(now)
 
-    def take_fetch(
-        self, now: float, number: int, position: revisions.Revision
-    ) -> _messages.Page | None:
-        """Answer a peer that is behind.
-
-        :param now: the time.
-        :param number: the topic's number.
-        :param position: the peer's position.
-        :returns: the page; None if this instance has none to give.
-        """
-        if number >= len(self._topics):
-            return None
-        topic = self._topics[number]
-        if not topic.is_complete or position > topic.position:
-            return None
-        return topic.build_page(now, position)
-
     def take_page(
         self,
         now: float,
@@ -256,25 +245,8 @@
         :param page: the answer; None for none.
         :returns: effects.
         """
-        topic = self._topics[fetch.topic]
-        if topic.fetching == fetch.host:
-            topic.fetching = ''
-        if page is None:
-            note = _effect.Note(
-                'fetch-failed', host=fetch.host, topic=topic.name
-            )
-            return [note, *self._fetch_elsewhere(now, topic, fetch.host)]
-        base = topic.position
-        is_gap = page.base > base and not page.is_snapshot
-        if is_gap or page.revision < base:
-            return []
-        if page.is_snapshot:
-            changed = topic.take_whole(page.items, page.revision)
-        else:
-            changed = topic.take_changes(page.items, page.revision)
-        if page.age_seconds is not None:
-            topic.confirm(now - page.age_seconds)
-        return self._spread(now, topic, base, changed, fetch.host)
+        effects = self._exchange.take_page(now, fetch, page)
+        return effects + self._ask(now)
 
     def may_leave(self, now: float) -> bool:
         """Tell whether this instance may leave rotation.
@@ -322,101 +294,6 @@
                 effects.append(_effect.CallStore(call))
         return effects
 
-    def _take_news(
-        self, now: float, host: str, beacon: _messages.Beacon
-    ) -> list[object]:
-        news = beacon.news
-        if news.topic >= len(self._topics):
-            return []
-        topic = self._topics[news.topic]
-        revision = beacon.positions[news.topic].revision
-        base = topic.position
-        if not topic.is_complete or news.base > base or revision <= base:
-            return []
-        if news.base.era != revision.era:
-            return []
-        changed = topic.take_changes(news.items, revision)
-        return self._spread(now, topic, base, changed, host)
-
-    def _compare(
-        self,
-        now: float,
-        topic: _topic.Topic,
-        host: str,
-        position: _messages.Position,
-    ) -> list[object]:
-        effects: list[object] = []
-        if position.revision > topic.position:
-            if not topic.is_complete or position.changed > topic.position:
-                return self._fetch(now, topic, host)
-            # Nothing that concerns the topic was written in between.
-            effects.append(
-                _effect.Note(
-                    'advanced',
-                    host=host,
-                    topic=topic.name,
-                    since=str(topic.position),
-                    revision=str(position.revision),
-                )
-            )
-            topic.shelf.advance(position.revision)
-        if (
-            position.revision == topic.position
-            and topic.is_complete
-            and position.age_seconds is not None
-        ):
-            topic.confirm(now - position.age_seconds)
-        return effects
-
-    def _fetch(
-        self, now: float, topic: _topic.Topic, host: str
-    ) -> list[object]:
-        if topic.fetching and now < topic.fetch_until:
-            return []
-        topic.fetching = host
-        timeout = self._settings.fetch_seconds
-        topic.fetch_until = now + timeout
-        return [_effect.Fetch(host, topic.number, topic.position, timeout)]
-
-    def _fetch_elsewhere(
-        self, now: float, topic: _topic.Topic, failed: str
-    ) -> list[object]:
-        for peer in self._peers.members.values():
-            if not peer.positions or peer.host == failed:
-                continue
-            changed = peer.positions[topic.number].changed
-            if changed > topic.position and peer.is_reachable:
-                return self._fetch(now, topic, peer.host)
-        return self._ask(now)
-
-    def _spread(
-        self,
-        now: float,
-        topic: _topic.Topic,
-        base: revisions.Revision,
-        changed: list[_item.Item],
-        source: str,
-    ) -> list[object]:
-        """Tell of changes, here and to the neighbours."""
-        effects: list[object] = []
-        is_first = base == 0
-        if changed or is_first or topic.position.era != base.era:
-            paths = [each.path for each in changed]
-            effects.append(
-                _effect.Changed(
-                    topic.name,
-                    topic.position,
-                    source,
-                    paths,
-                    topic.compute_lag(now),
-                    base,
-                )
-            )
-        is_new_era = topic.position.era != base.era
-        if (changed or is_new_era) and not is_first:
-            effects += self._announcer.push(now, topic, base, changed, source)
-        return effects
-
     def _wake(self, now: float) -> list[object]:
         """Find out what was missed while the process stood still."""
         for topic in self._topics:
--- /dev/null
+++ b/skylarkfold/relay/_exchange.py
@@ -0,0 +1,204 @@
+"""What instances learn from one another, and who asks whom."""
+
+from __future__ import annotations
+
+from skylarkfold.relay import _announcer
+from skylarkfold.relay import _effect
+from skylarkfold.relay import _item
+from skylarkfold.relay import _messages
+from skylarkfold.relay import _peers
+from skylarkfold.relay import _settings
+from skylarkfold.relay import _topic
+from skylarkfold import revision as revisions
+
+
+class Exchange:
+    """Compares this instance's view with its peers', and asks who is ahead.
+
+    :param peers: the other instances.
+    :param announcer: tells the neighbours of changes.
+    :param topics: all topics.
+    :param settings: the relay's settings.
+    """
+
+    __slots__ = ('_announcer', '_peers', '_settings', '_topics')
+
+    def __init__(
+        self,
+        peers: _peers.PeerTable,
+        announcer: _announcer.Announcer,
+        topics: list[_topic.Topic],
+        settings: _settings.RelaySettings,
+    ) -> None:
+        self._peers = peers
+        self._announcer = announcer
+        self._topics = topics
+        self._settings = settings
+
+    def take_news(
+        self, now: float, host: str, beacon: _messages.Beacon
+    ) -> list[object]:
+        """Take changes that came with a beacon.
+
+        :param now: the time.
+        :param host: where it came from.
+        :param beacon: the beacon.
+        :returns: effects.
+        """
+        news = beacon.news
+        if news.topic >= len(self._topics):
+            return []
+        topic = self._topics[news.topic]
+        revision = beacon.positions[news.topic].revision
+        base = topic.position
+        if not topic.is_complete or news.base > base or revision <= base:
+            return []
+        if news.base.era != revision.era:
+            return []
+        changed = topic.take_changes(news.items, revision)
+        return self.tell(now, topic, base, changed, host)
+
+    def compare(
+        self,
+        now: float,
+        topic: _topic.Topic,
+        host: str,
+        position: _messages.Position,
+    ) -> list[object]:
+        """Compare how far a peer is with what is known here.
+
+        :param now: the time.
+        :param topic: the topic.
+        :param host: the peer.
+        :param position: how far it is.
+        :returns: effects.
+        """
+        effects: list[object] = []
+        if position.revision > topic.position:
+            if not topic.is_complete or position.changed > topic.position:
+                return self._fetch(now, topic, host)
+            # Nothing that concerns the topic was written in between.
+            effects.append(
+                _effect.Note(
+                    'advanced',
+                    host=host,
+                    topic=topic.name,
+                    since=str(topic.position),
+                    revision=str(position.revision),
+                )
+            )
+            topic.shelf.advance(position.revision)
+        if (
+            position.revision == topic.position
+            and topic.is_complete
+            and position.age_seconds is not None
+        ):
+            topic.confirm(now - position.age_seconds)
+        return effects
+
+    def take_fetch(
+        self, now: float, number: int, position: revisions.Revision
+    ) -> _messages.Page | None:
+        """Answer a peer that is behind.
+
+        :param now: the time.
+        :param number: the topic's number.
+        :param position: the peer's position.
+        :returns: the page; None if this instance has none to give.
+        """
+        if number >= len(self._topics):
+            return None
+        topic = self._topics[number]
+        if not topic.is_complete or position > topic.position:
+            return None
+        return topic.build_page(now, position)
+
+    def take_page(
+        self,
+        now: float,
+        fetch: _effect.Fetch,
+        page: _messages.Page | None,
+    ) -> list[object]:
+        """Take the end of a fetch.
+
+        :param now: the time.
+        :param fetch: what was asked.
+        :param page: the answer; None for none.
+        :returns: effects.
+        """
+        topic = self._topics[fetch.topic]
+        if topic.fetching == fetch.host:
+            topic.fetching = ''
+        if page is None:
+            note = _effect.Note(
+                'fetch-failed', host=fetch.host, topic=topic.name
+            )
+            return [note, *self._fetch_elsewhere(now, topic, fetch.host)]
+        base = topic.position
+        is_gap = page.base > base and not page.is_snapshot
+        if is_gap or page.revision < base:
+            return []
+        if page.is_snapshot:
+            changed = topic.take_whole(page.items, page.revision)
+        else:
+            changed = topic.take_changes(page.items, page.revision)
+        if page.age_seconds is not None:
+            topic.confirm(now - page.age_seconds)
+        return self.tell(now, topic, base, changed, fetch.host)
+
+    def tell(
+        self,
+        now: float,
+        topic: _topic.Topic,
+        base: revisions.Revision,
+        changed: list[_item.Item],
+        source: str,
+    ) -> list[object]:
+        """Tell of changes, here and to the neighbours.
+
+        :param now: the time.
+        :param topic: the topic.
+        :param base: up to which revision it was known here before.
+        :param changed: the objects that are new.
+        :param source: the host that they came from; empty for the store.
+        :returns: effects.
+        """
+        effects: list[object] = []
+        is_first = base == 0
+        if changed or is_first or topic.position.era != base.era:
+            paths = [each.path for each in changed]
+            effects.append(
+                _effect.Changed(
+                    topic.name,
+                    topic.position,
+                    source,
+                    paths,
+                    topic.compute_lag(now),
+                    base,
+                )
+            )
+        is_new_era = topic.position.era != base.era
+        if (changed or is_new_era) and not is_first:
+            effects += self._announcer.push(now, topic, base, changed, source)
+        return effects
+
+    def _fetch(
+        self, now: float, topic: _topic.Topic, host: str
+    ) -> list[object]:
+        if topic.fetching and now < topic.fetch_until:
+            return []
+        topic.fetching = host
+        timeout = self._settings.fetch_seconds
+        topic.fetch_until = now + timeout
+        return [_effect.Fetch(host, topic.number, topic.position, timeout)]
+
+    def _fetch_elsewhere(
+        self, now: float, topic: _topic.Topic, failed: str
+    ) -> list[object]:
+        for peer in self._peers.members.values():
+            if not peer.positions or peer.host == failed:
+                continue
+            changed = peer.positions[topic.number].changed
+            if changed > topic.position and peer.is_reachable:
+                return self._fetch(now, topic, peer.host)
+        return []
