Relay: who has listed tells that peers before it may lack a deletion

An instance that lists what the store holds doesn't see what was deleted before. It told its peers of the last change among what there is, so that one that was behind took it that nothing concerned it, moved on, and kept what was deleted for good: an upstream that is gone, a zone that is evacuated no more.

Change: after a listing, the last change counts as the listing's own revision. Who is behind fetches, and gets all objects.

Measured: the test fails without it (no fetch). Conclusion: a fetch more for those behind a listing, which come at starts and after a lost history only.

--- a/skylarkfold/relay/_topic.py
+++ b/skylarkfold/relay/_topic.py
@@ -133,7 +133,8 @@
             _item.Item(each.path, revision, each.created, None)
             for each in absent
         ]
-        return self._end(changed + self._put(buried, False), revision)
+        changed += self._put(buried, False)
+        return self._end_whole(changed, revision)
 
     def _enter_era(
         self, items: list[_item.Item], revision: revisions.Revision
@@ -154,8 +155,7 @@
             for each in former.list_after(revisions.NONE)
             if each.value is not None and each.path not in present
         ]
-        self._end(changed, revision)
-        return changed
+        return self._end_whole(changed, revision)
 
     def confirm(self, at: float) -> None:
         """Note that the store confirmed what is known here.
@@ -191,6 +191,13 @@
     ) -> list[_item.Item]:
         return [each for each in items if self.shelf.put(each, is_listed)]
 
+    def _end_whole(
+        self, changed: list[_item.Item], revision: revisions.Revision
+    ) -> list[_item.Item]:
+        # What was deleted before it isn't in it: who is behind lacks that.
+        self._changed = revision
+        return self._end(changed, revision)
+
     def _end(
         self, changed: list[_item.Item], revision: revisions.Revision
     ) -> list[_item.Item]:
--- a/skylarkfold/tests/relay/test_spread.py
+++ b/skylarkfold/tests/relay/test_spread.py
@@ -159,6 +159,42 @@
             self.assertGreaterEqual(changed.revision, seen.get(key, 0))
             seen[key] = changed.revision
 
+    def test_a_deletion_that_a_listing_can_t_show_is_passed_over_by_nobody(
+        self,
+    ):
+        # One that lists for the first time knows no deletions, and tells of
+        # the last change among what there is.
+        topics = fleet_module.TOPICS
+        settings = relay.RelaySettings(topics=topics)
+        ahead = relay.RelayCore('ahead', 'a', 'h-0', settings)
+        behind = relay.RelayCore('behind', 'a', 'h-1', settings)
+        store = fleet_module.FakeStore(topics)
+        store.put('routes', 'kept', {})
+        store.put('routes', 'gone', {})
+        self.list_all(behind, store)
+        store.put('routes', 'gone', None)
+        self.list_all(ahead, store)
+        (sent,) = [
+            each
+            for each in ahead.announcer.approach(1.0, ['h-1'])
+            if isinstance(each, relay.SendBeacon)
+        ]
+        effects = behind.take_beacon(1.0, 'h-0', sent.beacon)
+        fetches = [each for each in effects if isinstance(each, relay.Fetch)]
+        self.assertIn(0, [each.topic for each in fetches])
+        position = behind.get_position('routes')
+        page = ahead.take_fetch(1.0, 0, position)
+        behind.take_page(1.0, fetches[0], page)
+        paths = [each.path for each in behind.list_items('routes')]
+        self.assertEqual(['kept'], paths)
+
+    @staticmethod
+    def list_all(core, store):
+        """Have an instance list all topics."""
+        for topic in fleet_module.TOPICS:
+            call = relay.Call(topic, None, '', 0.0, 1.0)
+            core.take_answer(0.0, call, store.list(topic))
+
     def test_duties_go_to_the_largest_instance_of_a_zone(self):
         self.fleet.start('large', 'a', capacity=20)
         self.fleet.run(2.0)
