Relay: what the store has lost stays in force until it is written again

Cause: with the order of eras alone an instance takes the copy as it stands when the store is back: an older configuration, a service without the upstreams that came since, as ready one that has said that it leaves. Until its writers have written again, new flows go by that.

Change: what was known and is not in the copy, or is older there, is retained and stands for it. Which form is the later one is told by what it says, since the order of writing tells nothing: a configuration by its version, an entry by its process's count (`sequence`) and start (`born`); an object that is deleted by its creation, which no new object shares. It ends when it is written again, when something later is, or when the store has said after 2.5 s (an entry; 6 s for one that leaves; what operators write: as long as a change may take, 15 s on the users' settings) that it still isn't there. That time runs on the store's word, not on the clock, so that an outage after the return ends nothing. Peers tell newcomers what they retain and for how much longer; who knows only the copy asks them once. Versions may fall between eras only. Until all is settled, no flow is refused for want of a route, and no lapse is dated.

Weighed: not to retain (versions alone would hold, entries would not); to take the union for good (what was deleted would stay); to wait for writers before taking the copy at all (a new configuration would wait as well).

Watches are cut short only until something is settled: at most 2 more a watcher and topic at a return.

--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -112,10 +112,12 @@
 
         :param now: the time in seconds of a monotonic clock.
         :param routes: the routes; an older version than the one in force
-            is ignored.
+            is ignored, unless the two are of different eras of the store: a
+            version may be gone for good then.
         :returns: effects.
         """
-        if routes.version <= self._routes.version:
+        is_same_era = routes.revision.era == self._routes.revision.era
+        if is_same_era and routes.version <= self._routes.version:
             return []
         self._routes = routes
         self._limit.set_warm_ups(routes.warm_ups)
--- a/skylarkfold/affinity/_route.py
+++ b/skylarkfold/affinity/_route.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 
 from skylarkfold.affinity import _warm_up
+from skylarkfold import revision as revisions
 
 
 class Route:
@@ -73,9 +74,17 @@
     :param services: the services that there are; empty where that is not
         said.
     :param warm_ups: how the upstreams of services start, by service.
+    :param revision: where in the store's history it was written.
     """
 
-    __slots__ = ('_routes', 'idle_seconds', 'services', 'version', 'warm_ups')
+    __slots__ = (
+        '_routes',
+        'idle_seconds',
+        'revision',
+        'services',
+        'version',
+        'warm_ups',
+    )
 
     def __init__(
         self,
@@ -84,8 +93,10 @@
         idle_seconds: float = 15.0,
         services: Iterable[str] = (),
         warm_ups: Mapping[str, _warm_up.WarmUp] | None = None,
+        revision: revisions.Revision = revisions.NONE,
     ) -> None:
         self.version = version
+        self.revision = revision
         self.warm_ups = warm_ups or {}
         self.services = frozenset(services)
         self.idle_seconds = idle_seconds
--- a/skylarkfold/affinity/_upstream.py
+++ b/skylarkfold/affinity/_upstream.py
@@ -28,6 +28,7 @@
     :param born: the Unix millisecond of its start by its own clock; None
         where that is not said. Only whether it is the same matters: clocks
         differ and are set back.
+    :param sequence: how often its process had written its entry by then.
     :ivar incarnation: 32 bits that name this start among instances.
     """
 
@@ -40,6 +41,7 @@
         'name',
         'number',
         'revision',
+        'sequence',
         'service',
         'slots',
         'warm_up_seconds',
@@ -59,7 +61,9 @@
         created: revisions.Revision = revisions.NONE,
         revision: revisions.Revision = revisions.NONE,
         born: int | None = None,
+        sequence: int = 0,
     ) -> None:
+        self.sequence = sequence
         self.name = name
         self.number = number
         self.service = service
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -16,6 +16,7 @@
 from skylarkfold.forwarder import _own
 from skylarkfold.forwarder import _peers
 from skylarkfold.forwarder import _platform
+from skylarkfold.forwarder import _precedence
 from skylarkfold.forwarder import _probe
 from skylarkfold.forwarder import _reporter
 from skylarkfold import late_log
@@ -69,6 +70,7 @@
         _own.take_machine(own, settings)
         own.relay.topics = self._knowledge.topics
         own.relay.shared_topics = self._knowledge.shared_topics
+        own.relay.lasting_topics = self._knowledge.lasting_topics
         self._platform = platform
         self._packets = packets
         self._loop = reactor.Loop()
@@ -82,6 +84,7 @@
             settings.peer_address[0],
             own.relay,
             settings.capacity,
+            _precedence.Precedence(platform, own),
         )
         self._relay.set_seeds(settings.seeds)
         self._peers = _peers.PeerSockets(
@@ -358,15 +361,25 @@
         lag.observe(self._loop.lag)
         self._perform(self._affinity.tick(now))
         self._perform(self._relay.tick(now))
-        age = self._relay.compute_age(now, self._platform.routes_topic)
-        if age is not None:
-            self._affinity.note_confirmed(now - age)
-        age = self._relay.compute_age(now, self._platform.upstreams_topic)
-        if age is not None:
-            self._affinity.note_present(now - age)
+        routes_at = self._find_settled(now, self._platform.routes_topic)
+        if routes_at is not None:
+            self._affinity.note_confirmed(routes_at)
+        upstreams_at = self._find_settled(now, self._platform.upstreams_topic)
+        if upstreams_at is not None:
+            self._affinity.note_present(upstreams_at)
         if self._departure is not None:
             self._check_departure(now, self._departure)
 
+    def _find_settled(self, now: float, topic: str) -> float | None:
+        """Find when all that there is of a topic was known.
+
+        :returns: the time, None where the store may lack some of it.
+        """
+        if not self._relay.is_settled(topic):
+            return None
+        age = self._relay.compute_age(now, topic)
+        return None if age is None else now - age
+
     def _check_departure(
         self, now: float, departure: _departure.Departure
     ) -> None:
--- a/skylarkfold/forwarder/_gauges.py
+++ b/skylarkfold/forwarder/_gauges.py
@@ -40,4 +40,6 @@
         position = relay_core.get_position(topic)
         gauges[f'era_{topic}'] = float(position.era)
         gauges[f'revision_{topic}'] = float(position.number)
+        retained = relay_core.count_retained(topic)
+        gauges[f'retained_{topic}'] = float(retained)
     return gauges
--- a/skylarkfold/forwarder/_knowledge.py
+++ b/skylarkfold/forwarder/_knowledge.py
@@ -43,6 +43,15 @@
         topic = self._platform.evacuations_topic
         return (topic,) if topic in self._appliers else ()
 
+    @property
+    def lasting_topics(self) -> tuple[str, ...]:
+        """Those that operators write: no beat of a program repeats them."""
+        lasting = (
+            self._platform.routes_topic,
+            self._platform.evacuations_topic,
+        )
+        return tuple(each for each in lasting if each in self._appliers)
+
     def apply(
         self,
         now: float,
--- a/skylarkfold/forwarder/_own.py
+++ b/skylarkfold/forwarder/_own.py
@@ -99,6 +99,10 @@
     limits.limits_warm_up = settings.warm_up_slack is not None
     limits.warm_up_factor = settings.warm_up_factor
     limits.warm_up_slack = settings.warm_up_slack or 0.0
+    # By then a change that is written again is in force everywhere.
+    own.relay.lasting_seconds = (
+        settings.change_seconds + settings.disturbed_seconds
+    )
 
 
 def parse_own_settings(text: str, source: str) -> OwnSettings:
--- a/skylarkfold/forwarder/_platform.py
+++ b/skylarkfold/forwarder/_platform.py
@@ -58,6 +58,12 @@
     ) -> list[affinity.Upstream]:
         """Read the upstreams' entries; unusable ones are left out."""
 
+    def decode_upstream(self, item: relay.Item) -> affinity.Upstream | None:
+        """Read an upstream's entry; None for an unusable one."""
+
+    def read_version(self, item: relay.Item) -> int | None:
+        """Read the version of an object that holds routes; None for none."""
+
     def decode_evacuations(
         self, items: Iterable[relay.Item], zones: tuple[str, ...]
     ) -> affinity.Evacuations:
--- a/skylarkfold/machine.py
+++ b/skylarkfold/machine.py
@@ -18,6 +18,8 @@
 # For files that leave them out: what the platform's example has.
 _GRACE_SECONDS = 6.0
 _FLOW_SECONDS = 60.0
+_CHANGE_SECONDS = 3.0
+_DISTURBED_SECONDS = 12.0
 # A machine's capacity is counted in these.
 _CORES_STEP = 0.1
 _LINK_STEP_MBPS = 10.0
@@ -46,10 +48,15 @@
         may exceed what its service is said to bear, in any second.
     :param warm_up_slack: and how many more they may be; None where they are
         not bounded.
+    :param change_seconds: how soon a change of the routes must be in force.
+    :param disturbed_seconds: how much later it may be after the store was
+        disturbed.
     """
 
     __slots__ = (
+        'change_seconds',
         'cores',
+        'disturbed_seconds',
         'evacuation_seconds',
         'flow_seconds',
         'grace_seconds',
@@ -83,6 +90,8 @@
         evacuation_seconds: float | None = None,
         warm_up_factor: float = 1.0,
         warm_up_slack: float | None = None,
+        change_seconds: float = _CHANGE_SECONDS,
+        disturbed_seconds: float = _DISTURBED_SECONDS,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -99,6 +108,8 @@
         self.evacuation_seconds = evacuation_seconds
         self.warm_up_factor = warm_up_factor
         self.warm_up_slack = warm_up_slack
+        self.change_seconds = change_seconds
+        self.disturbed_seconds = disturbed_seconds
 
     @property
     def capacity(self) -> int:
@@ -207,6 +218,10 @@
         evacuation_seconds=section.get_seconds('evacuation_ms'),
         warm_up_factor=section.get_number('warm_up_factor', 1.0),
         warm_up_slack=section.find_number('warm_up_slack'),
+        change_seconds=section.get_seconds('change_ms', _CHANGE_SECONDS),
+        disturbed_seconds=section.get_seconds(
+            'disturbed_ms', _DISTURBED_SECONDS
+        ),
     )
 
 
@@ -239,10 +254,12 @@
             return None
         return self.get_number(name, 0.0)
 
-    def get_seconds(self, name: str) -> float | None:
-        """Read a number of milliseconds; None where there is none."""
+    def get_seconds(
+        self, name: str, default: float | None = None
+    ) -> float | None:
+        """Read a number of milliseconds; the default where there is none."""
         milliseconds = self.find_number(name)
-        return None if milliseconds is None else milliseconds / 1000
+        return default if milliseconds is None else milliseconds / 1000
 
     def get_texts(self, name: str) -> tuple[str, ...]:
         values = self._fields.get(name, [])
--- a/skylarkfold/measure/_relay_fleet.py
+++ b/skylarkfold/measure/_relay_fleet.py
@@ -150,6 +150,7 @@
 
     :param zones: the availability zone of each instance.
     :param settings: the relay's settings.
+    :param precedence: as in :class:`relay.RelayCore`.
     :ivar cores: the decisions of each instance, by name.
     :ivar zones: the availability zone of each instance, by name.
     :ivar cut: whether nothing passes between two names.
@@ -164,8 +165,10 @@
         self,
         zones: tuple[str, ...],
         settings: relay.RelaySettings | None = None,
+        precedence: relay.Precedence | None = None,
     ) -> None:
         self.now = 0.0
+        self.precedence = precedence
         self.settings = settings or relay.RelaySettings(topics=TOPICS)
         self.store = FakeStore(self.settings.topics)
         self.cores = {}
@@ -192,7 +195,9 @@
         :param capacity: what it has to spare.
         """
         self.zones[name] = zone
-        core = relay.RelayCore(name, zone, name, self.settings, capacity)
+        core = relay.RelayCore(
+            name, zone, name, self.settings, capacity, self.precedence
+        )
         core.set_seeds(('entry-0', 'entry-1'))
         self.cores[name] = core
         self._plan(0.0, lambda: self._tick(name, core))
--- a/skylarkfold/platform/_adapter.py
+++ b/skylarkfold/platform/_adapter.py
@@ -31,6 +31,8 @@
         self._complaints = _complaints.Complaints()
         decoder = _objects.UpstreamDecoder(self._complaints)
         self.decode_upstreams = decoder.decode
+        self.decode_upstream = decoder.decode_one
+        self.read_version = _objects.read_version
 
     def decode_routes(
         self, items: Iterable[relay.Item]
--- a/skylarkfold/platform/_objects.py
+++ b/skylarkfold/platform/_objects.py
@@ -63,6 +63,20 @@
     return None
 
 
+def read_version(item: relay.Item) -> int | None:
+    """Read the version of a configuration alone.
+
+    :param item: its object.
+    :returns: the version, None where it has none.
+    """
+    try:
+        fields = _fields.Fields(item.value)
+        return fields.get_count('version', 0, _MOST_COUNT)
+    except errors.DecodeError:
+        # Said by whoever reads all of it.
+        return None
+
+
 def decode_evacuations(
     items: Iterable[relay.Item],
     zones: tuple[str, ...],
@@ -122,13 +136,24 @@
         upstreams = []
         for item in items:
             entry = known.get(item.path)
-            if entry is None or entry[0] != item.revision:
-                entry = (item.revision, self._read(item))
-            self._known[item.path] = entry
-            if entry[1] is not None:
-                upstreams.append(entry[1])
+            if entry is not None:
+                self._known[item.path] = entry
+            upstream = self.decode_one(item)
+            if upstream is not None:
+                upstreams.append(upstream)
         return upstreams
 
+    def decode_one(self, item: relay.Item) -> affinity.Upstream | None:
+        """Read an entry.
+
+        :param item: its object.
+        :returns: the upstream; None for an entry that can't be used.
+        """
+        entry = self._known.get(item.path)
+        if entry is None or entry[0] != item.revision:
+            entry = self._known[item.path] = (item.revision, self._read(item))
+        return entry[1]
+
     def _read(self, item: relay.Item) -> affinity.Upstream | None:
         try:
             return _convert_upstream(item)
@@ -144,10 +169,10 @@
 
 def _convert_upstream(item: relay.Item) -> affinity.Upstream:
     fields = _fields.Fields(item.value)
-    # Nothing here depends on these two; an entry without them is none that
-    # an upstream wrote.
+    # Nothing here depends on it; an entry without it is none that an
+    # upstream wrote.
     fields.get_text('version')
-    fields.get_count('sequence', 0, _MOST_COUNT)
+    sequence = fields.get_count('sequence', 0, _MOST_COUNT)
     born = None
     if fields.has('born'):
         born = fields.get_count('born', 1, _MOST_COUNT)
@@ -165,6 +190,7 @@
         created=item.created,
         revision=item.revision,
         born=born,
+        sequence=sequence,
     )
 
 
@@ -223,7 +249,12 @@
         services.update(warm_ups)
         idle_seconds = self._read_idle_seconds(fields)
         return affinity.RouteTable(
-            version, routes, idle_seconds, services, warm_ups
+            version,
+            routes,
+            idle_seconds,
+            services,
+            warm_ups,
+            self._item.revision,
         )
 
     def _read_route(self, value: object) -> affinity.Route | None:
--- a/skylarkfold/relay/__init__.py
+++ b/skylarkfold/relay/__init__.py
@@ -30,6 +30,9 @@
 from skylarkfold.relay._messages import News
 from skylarkfold.relay._messages import Page
 from skylarkfold.relay._messages import Position
+from skylarkfold.relay._messages import Told
+from skylarkfold.relay._retained import Precedence
+from skylarkfold.relay._retained import StoreFirst
 from skylarkfold.relay._settings import RelaySettings
 
 __all__ = [
@@ -47,11 +50,14 @@
     'TakeLoad',
     'TakeLost',
     'TellHeard',
+    'Told',
     'Position',
+    'Precedence',
     'RelayCore',
     'RelaySettings',
     'SendBeacon',
     'Status',
+    'StoreFirst',
     'decode_beacon',
     'decode_fetch',
     'decode_page',
--- a/skylarkfold/relay/_codec.py
+++ b/skylarkfold/relay/_codec.py
@@ -62,6 +62,7 @@
                 each.revision.number,
                 each.changed.number,
                 _to_milliseconds(each.age_seconds),
+                each.retained,
             ]
             for each in beacon.positions
         ],
@@ -140,6 +141,14 @@
     :param page: the page.
     :returns: all bytes of the stream.
     """
+    told = [
+        [
+            each.item.revision.era,
+            int(each.left_seconds * 1000),
+            _list([each.item]),
+        ]
+        for each in page.told
+    ]
     fields = [
         _VERSION,
         page.base.era,
@@ -148,7 +157,8 @@
         page.revision.number,
         page.is_snapshot,
         _to_milliseconds(page.age_seconds),
-        zlib.compress(msgpack.packb(_list(page.items)), 1),
+        int(page.era_seconds * 1000),
+        zlib.compress(msgpack.packb([_list(page.items), told]), 1),
     ]
     return msgpack.packb(fields)
 
@@ -223,8 +233,9 @@
                 _check_revision(era, number),
                 _check_revision(era, changed),
                 _to_seconds(age),
+                _check_count(retained),
             )
-            for era, number, changed, age in _check_list(positions)
+            for era, number, changed, age, retained in _check_list(positions)
         ),
         None if news is None else _convert_news(news),
         tuple(_convert_load(*each) for each in _check_list(loads)),
@@ -294,18 +305,27 @@
 
 
 def _convert_page(fields: list[object]) -> _messages.Page:
-    _, base_era, base, era, revision, is_snapshot, age, packed = fields
+    _, base_era, base, era, revision, is_snapshot, *rest = fields
+    age, era_age, packed = rest
     unpacker = zlib.decompressobj()
     unpacked = unpacker.decompress(packed, MAXIMUM_PAGE_BYTES)
+    items, told = msgpack.unpackb(unpacked)
     return _messages.Page(
         _check_revision(base_era, base),
         _check_revision(era, revision),
         bool(is_snapshot),
         _to_seconds(age),
-        _convert_items(msgpack.unpackb(unpacked), era),
+        _convert_items(items, era),
+        _check_count(era_age) / 1000,
+        tuple(_convert_told(*each) for each in _check_list(told)),
     )
 
 
+def _convert_told(era: object, left: object, items: object) -> _messages.Told:
+    (item,) = _convert_items(items, era)
+    return _messages.Told(item, _check_count(left) / 1000)
+
+
 def _list(items: Iterable[_item.Item]) -> list[list[object]]:
     # All that a message holds is of one era, which it tells once.
     return [
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -13,6 +13,7 @@
 from skylarkfold.relay import _messages
 from skylarkfold.relay import _peer
 from skylarkfold.relay import _peers
+from skylarkfold.relay import _retained
 from skylarkfold.relay import _settings
 from skylarkfold.relay import _topic
 from skylarkfold import revision as revisions
@@ -23,6 +24,8 @@
 # after a cut, however they were started.
 _LEAST_SPREAD = 0.1
 _MOST_SPREAD = 1.9
+# A watch ends so long after the time at which its word settles something.
+_SETTLING_SECONDS = 0.05
 
 
 class RelayCore:
@@ -37,6 +40,8 @@
     :param settings: the relay's settings.
     :param capacity: what it has to spare; duties go to those first that
         have more of it.
+    :param precedence: tells which of two forms of an object is the later one
+        where the store may have lost one.
     :ivar take_fetch: answers a peer that is behind.
     """
 
@@ -47,6 +52,7 @@
         host: str,
         settings: _settings.RelaySettings,
         capacity: int = 0,
+        precedence: _retained.Precedence | None = None,
     ) -> None:
         self._settings = settings
         self._own = _peer.Peer(name, zone, host, capacity)
@@ -57,7 +63,8 @@
                 topic,
                 number,
                 _feed.Feed(topic, settings, jitter),
-                settings.tombstones,
+                settings,
+                precedence or _retained.StoreFirst(),
             )
             for number, topic in enumerate(settings.topics)
         ]
@@ -118,8 +125,23 @@
         :param topic: the topic.
         :returns: those that exist, by rising revision.
         """
-        found = self._by_name[topic].shelf.list_after(0)
-        return [each for each in found if each.value is not None]
+        return self._by_name[topic].list_items()
+
+    def is_settled(self, topic: str) -> bool:
+        """Tell whether what is known of a topic is all that there is.
+
+        :param topic: the topic.
+        :returns: whether nothing that the store may have lost is awaited.
+        """
+        return self._by_name[topic].is_settled()
+
+    def count_retained(self, topic: str) -> int:
+        """Count the objects that count in the form of a former era.
+
+        :param topic: the topic.
+        :returns: how many there are.
+        """
+        return len(self._by_name[topic].retained)
 
     def get_position(self, topic: str) -> revisions.Revision:
         """Tell up to which revision of the store a topic is known.
@@ -166,6 +188,8 @@
             self._next_lost = now + self._settings.seed_seconds
             lost = self._peers.list_lost_zones()
             effects += self._announcer.approach(now, lost)
+        for topic in self._topics:
+            effects += self._exchange.give_up(now, topic)
         return effects + self._ask(now)
 
     def take_answer(
@@ -188,7 +212,7 @@
         topic.feed.note_taken()
         base = topic.position
         if news.is_listing:
-            changed = topic.take_whole(news.items, news.revision)
+            changed = topic.take_listing(now, news.items, news.revision)
         else:
             changed = topic.take_changes(news.items, news.revision)
         topic.confirm(now)
@@ -289,11 +313,23 @@
         for topic in self._topics:
             if topic.feed.is_calling or not self._duty.must_call(now, topic):
                 continue
-            call = topic.feed.call(now, topic.position)
+            wait = self._compute_wait(now, topic)
+            call = topic.feed.call(now, topic.position, wait)
             if call is not None:
                 effects.append(_effect.CallStore(call))
         return effects
 
+    def _compute_wait(self, now: float, topic: _topic.Topic) -> float:
+        """Compute how long the store may hold a watch.
+
+        Until its word settles something, but not much longer.
+        """
+        wait = self._settings.wait_seconds
+        settling = topic.find_settling()
+        if settling is None or settling <= now:
+            return wait
+        return min(wait, settling - now + _SETTLING_SECONDS)
+
     def _wake(self, now: float) -> list[object]:
         """Find out what was missed while the process stood still."""
         for topic in self._topics:
--- a/skylarkfold/relay/_exchange.py
+++ b/skylarkfold/relay/_exchange.py
@@ -94,6 +94,10 @@
             and position.age_seconds is not None
         ):
             topic.confirm(now - position.age_seconds)
+        is_same_era = position.revision.era == topic.position.era
+        if topic.is_alone and is_same_era and position.retained:
+            # Asked from the beginning, it tells what it retains as well.
+            return effects + self._fetch(now, topic, host, revisions.NONE)
         return effects
 
     def take_fetch(
@@ -138,10 +142,7 @@
         is_gap = page.base > base and not page.is_snapshot
         if is_gap or page.revision < base:
             return []
-        if page.is_snapshot:
-            changed = topic.take_whole(page.items, page.revision)
-        else:
-            changed = topic.take_changes(page.items, page.revision)
+        changed = topic.take_page(now, page)
         if page.age_seconds is not None:
             topic.confirm(now - page.age_seconds)
         return self.tell(now, topic, base, changed, fetch.host)
@@ -163,7 +164,7 @@
         :param source: the host that they came from; empty for the store.
         :returns: effects.
         """
-        effects: list[object] = []
+        effects: list[object] = [*topic.take_notes()]
         is_first = base == 0
         if changed or is_first or topic.position.era != base.era:
             paths = [each.path for each in changed]
@@ -182,15 +183,43 @@
             effects += self._announcer.push(now, topic, base, changed, source)
         return effects
 
+    def give_up(self, now: float, topic: _topic.Topic) -> list[object]:
+        """Let what the store has count in place of what was retained.
+
+        :param now: the time.
+        :param topic: the topic.
+        :returns: effects, none as long as it may still be written again.
+        """
+        expired = topic.expire_retained()
+        if not expired:
+            return []
+        return [
+            *topic.take_notes(),
+            _effect.Changed(
+                topic.name,
+                topic.position,
+                '',
+                [each.path for each in expired],
+                topic.compute_lag(now),
+                topic.position,
+            ),
+        ]
+
     def _fetch(
-        self, now: float, topic: _topic.Topic, host: str
+        self,
+        now: float,
+        topic: _topic.Topic,
+        host: str,
+        base: revisions.Revision | None = None,
     ) -> list[object]:
         if topic.fetching and now < topic.fetch_until:
             return []
         topic.fetching = host
         timeout = self._settings.fetch_seconds
         topic.fetch_until = now + timeout
-        return [_effect.Fetch(host, topic.number, topic.position, timeout)]
+        if base is None:
+            base = topic.position
+        return [_effect.Fetch(host, topic.number, base, timeout)]
 
     def _fetch_elsewhere(
         self, now: float, topic: _topic.Topic, failed: str
--- a/skylarkfold/relay/_feed.py
+++ b/skylarkfold/relay/_feed.py
@@ -85,12 +85,16 @@
         self._must_list = True
 
     def call(
-        self, now: float, position: revisions.Revision
+        self,
+        now: float,
+        position: revisions.Revision,
+        wait_seconds: float,
     ) -> _call.Call | None:
         """Begin the next call if none is under way.
 
         :param now: the time.
         :param position: up to which revision the topic is known here.
+        :param wait_seconds: how long the store may hold a watch.
         :returns: the call, None for none.
         """
         if self._is_calling or now < self._next_call:
@@ -113,8 +117,8 @@
             self._topic,
             position,
             '',
-            settings.wait_seconds,
-            settings.wait_seconds + settings.overdue_seconds,
+            wait_seconds,
+            wait_seconds + settings.overdue_seconds,
             position.era,
         )
 
@@ -139,12 +143,13 @@
             self._backoff.note_failure(now)
             return None
         if call.revision is not None:
-            return self._take_watch(now, call.revision, answer)
+            return self._take_watch(now, call, answer)
         return self._take_page(now, answer)
 
     def _take_watch(
-        self, now: float, since: revisions.Revision, answer: _call.Answer
+        self, now: float, call: _call.Call, answer: _call.Answer
     ) -> News | None:
+        since = call.revision
         if answer.revision.era > since.era:
             # What was written from where the copy ends up to the revision
             # that was asked from is in no watch.
@@ -158,7 +163,7 @@
         waited = now - self._called_at
         if answer.items:
             self._next_call = now + self._settings.gather_seconds
-        elif waited < self._settings.wait_seconds / 2:
+        elif waited < call.wait_seconds / 2:
             # It did not wait: asking again at once would be a busy loop.
             self._backoff.note_failure(now)
         return News(answer.items, answer.revision, False)
--- a/skylarkfold/relay/_messages.py
+++ b/skylarkfold/relay/_messages.py
@@ -10,6 +10,20 @@
 from skylarkfold import upstream_load
 
 
+class Told:
+    """An object that the sender goes on with in the form of a former era.
+
+    :param item: the object; without a value where it was deleted.
+    :param left_seconds: how much longer; then until the store is heard.
+    """
+
+    __slots__ = ('item', 'left_seconds')
+
+    def __init__(self, item: _item.Item, left_seconds: float) -> None:
+        self.item = item
+        self.left_seconds = left_seconds
+
+
 class Position:
     """How far the sender knows a topic.
 
@@ -18,16 +32,20 @@
         era: a receiver that knows it lacks nothing.
     :param age_seconds: how long ago the store confirmed it, as far as the
         sender knows; None for never.
+    :param retained: how many objects it goes on with in the form of a former
+        era.
     """
 
-    __slots__ = ('age_seconds', 'changed', 'revision')
+    __slots__ = ('age_seconds', 'changed', 'retained', 'revision')
 
     def __init__(
         self,
         revision: revisions.Revision,
         changed: revisions.Revision,
         age_seconds: float | None,
+        retained: int = 0,
     ) -> None:
+        self.retained = retained
         self.revision = revision
         self.changed = changed
         self.age_seconds = age_seconds
@@ -183,9 +201,19 @@
     :param is_snapshot: whether absent objects are deleted.
     :param age_seconds: as in :class:`Position`.
     :param items: the objects, deleted ones with no value.
+    :param era_seconds: how long the sender has known the store's era.
+    :param told: what the sender retains of former eras.
     """
 
-    __slots__ = ('age_seconds', 'base', 'is_snapshot', 'items', 'revision')
+    __slots__ = (
+        'age_seconds',
+        'base',
+        'era_seconds',
+        'is_snapshot',
+        'items',
+        'revision',
+        'told',
+    )
 
     def __init__(
         self,
@@ -194,7 +222,11 @@
         is_snapshot: bool,
         age_seconds: float | None,
         items: tuple[_item.Item, ...],
+        era_seconds: float = 0.0,
+        told: tuple[Told, ...] = (),
     ) -> None:
+        self.era_seconds = era_seconds
+        self.told = told
         self.base = base
         self.revision = revision
         self.is_snapshot = is_snapshot
--- a/skylarkfold/relay/_settings.py
+++ b/skylarkfold/relay/_settings.py
@@ -13,6 +13,13 @@
         fleet has one set of watchers for them instead of one in each zone,
         which saves two of three calls in three zones.
     :param watchers: how many instances of a zone watch the store.
+    :param lasting_topics: those of the topics that operators write, which may
+        take ``lasting_seconds`` to be written again.
+    :param rewrite_seconds: after the store has come back from an older copy,
+        how long it may lack what its writers still have: entries are written
+        again within two seconds, and heard of within half of one more.
+    :param lasting_seconds: the same for ``lasting_topics``: as long as a
+        configuration may take on a platform that was disturbed.
     :param wait_seconds: how long the store may hold a watch. A watch that
         says nothing proves nothing, so this bounds how old the view of a
         watcher may be; changes must be in force after 3 s.
@@ -81,6 +88,8 @@
         'forget_seconds',
         'gather_seconds',
         'hearsay_seconds',
+        'lasting_seconds',
+        'lasting_topics',
         'least_backoff_seconds',
         'load_bytes_per_second',
         'load_entries',
@@ -88,6 +97,7 @@
         'overdue_seconds',
         'pause_seconds',
         'push_bytes',
+        'rewrite_seconds',
         'rotation_seconds',
         'seed_members',
         'seed_pause_seconds',
@@ -106,6 +116,9 @@
         self,
         topics: tuple[str, ...] = (),
         shared_topics: tuple[str, ...] = (),
+        lasting_topics: tuple[str, ...] = (),
+        rewrite_seconds: float = 2.5,
+        lasting_seconds: float = 15.0,
         watchers: int = 1,
         wait_seconds: float = 3.0,
         call_timeout_seconds: float = 1.0,
@@ -135,6 +148,9 @@
     ) -> None:
         self.topics = topics
         self.shared_topics = shared_topics
+        self.lasting_topics = lasting_topics
+        self.rewrite_seconds = rewrite_seconds
+        self.lasting_seconds = lasting_seconds
         self.watchers = watchers
         self.wait_seconds = wait_seconds
         self.call_timeout_seconds = call_timeout_seconds
--- a/skylarkfold/relay/_topic.py
+++ b/skylarkfold/relay/_topic.py
@@ -4,13 +4,20 @@
 
 from collections.abc import Iterable
 
+from skylarkfold.relay import _effect
 from skylarkfold.relay import _feed
 from skylarkfold.relay import _item
 from skylarkfold.relay import _messages
+from skylarkfold.relay import _retained
+from skylarkfold.relay import _settings
 from skylarkfold import revision as revisions
 from skylarkfold import shelf
 
 _NEVER = float('-inf')
+# Names of objects in one log line.
+_MOST_NAMES = 20
+# An era that is known for longer is as good as one that always was.
+_MOST_ERA_SECONDS = 3600.0
 
 
 class Topic:
@@ -19,7 +26,12 @@
     :param name: the topic.
     :param number: its place in the settings' list.
     :param feed: what asks the store.
-    :param tombstones: how many deletions are remembered.
+    :param settings: the relay's settings.
+    :param precedence: tells which of two forms of an object is the later one.
+    :ivar retained: what counts of former eras of the store.
+    :ivar entered_at: since when the store's era is known, here or at peers.
+    :ivar is_alone: whether the store told of its era before any peer did, so
+        that peers may know what it has lost.
     :ivar is_shared: whether the whole fleet has one set of watchers for it.
     :ivar confirmed_at: when the store last confirmed what is known here.
     :ivar sure_until: the same, just before the last change was learnt.
@@ -29,27 +41,43 @@
 
     __slots__ = (
         '_changed',
-        '_tombstones',
+        '_has_former',
+        '_notes',
+        '_settings',
         'confirmed_at',
+        'entered_at',
         'feed',
         'fetch_until',
         'fetching',
+        'is_alone',
         'is_complete',
         'is_shared',
         'name',
         'number',
+        'retained',
         'shelf',
         'sure_until',
     )
 
     def __init__(
-        self, name: str, number: int, feed: _feed.Feed, tombstones: int
+        self,
+        name: str,
+        number: int,
+        feed: _feed.Feed,
+        settings: _settings.RelaySettings,
+        precedence: _retained.Precedence,
     ) -> None:
         self.name = name
         self.number = number
         self.feed = feed
-        self.shelf = shelf.Shelf(tombstones, revisions.NONE)
-        self._tombstones = tombstones
+        self._settings = settings
+        self.shelf = shelf.Shelf(settings.tombstones, revisions.NONE)
+        self.retained = _retained.RetainedObjects(name, settings, precedence)
+        self.entered_at = _NEVER
+        self.is_alone = False
+        # Whether this process has seen the store come back.
+        self._has_former = False
+        self._notes: list[_effect.Note] = []
         self.is_complete = False
         self.is_shared = False
         self.confirmed_at = _NEVER
@@ -99,9 +127,39 @@
         :returns: the position with its age.
         """
         return _messages.Position(
-            self.position, self.changed, self.compute_age(now)
+            self.position,
+            self.changed,
+            self.compute_age(now),
+            len(self.retained),
         )
 
+    def list_items(self) -> list[_item.Item]:
+        """List the objects that count.
+
+        :returns: those that exist, by rising revision.
+        """
+        return self.retained.merge(self.shelf.list_after(revisions.NONE))
+
+    def is_settled(self) -> bool:
+        """Tell whether what the store has is all that there is.
+
+        After its return it may lack what its writers still have.
+
+        :returns: whether it was heard long enough after it.
+        """
+        since = self.entered_at + self._settings.rewrite_seconds
+        return not self.retained and self.confirmed_at > since
+
+    def find_settling(self) -> float | None:
+        """Find when the store is to be heard next for something to be settled.
+
+        :returns: the time, None if nothing waits for it.
+        """
+        end = self.retained.find_end()
+        if end is None and self._has_former and not self.is_settled():
+            return self.entered_at + self._settings.rewrite_seconds
+        return end
+
     def take_changes(
         self, items: Iterable[_item.Item], revision: revisions.Revision
     ) -> list[_item.Item]:
@@ -113,18 +171,51 @@
         """
         return self._end(self._put(items, False), revision)
 
-    def take_whole(
-        self, items: Iterable[_item.Item], revision: revisions.Revision
+    def take_listing(
+        self,
+        now: float,
+        items: Iterable[_item.Item],
+        revision: revisions.Revision,
     ) -> list[_item.Item]:
-        """Take all objects at a revision; absent ones are deleted.
+        """Take what the store listed.
 
+        :param now: the time.
         :param items: all objects.
-        :param revision: the revision.
+        :param revision: where its history was then.
         :returns: what was new here, deletions included.
         """
+        if revision.era > self.position.era or not self.is_complete:
+            self.is_alone = not self.is_complete
+            return self._enter_era(now, 0.0, items, revision, ())
+        return self._take_whole(items, revision)
+
+    def take_page(self, now: float, page: _messages.Page) -> list[_item.Item]:
+        """Take what a peer had beyond a position of this instance.
+
+        :param now: the time.
+        :param page: what it had.
+        :returns: what was new here, deletions included.
+        """
+        if not page.is_snapshot:
+            return self.take_changes(page.items, page.revision)
+        if page.revision.era > self.position.era or not self.is_complete:
+            self.is_alone = False
+            return self._enter_era(
+                now, page.era_seconds, page.items, page.revision, page.told
+            )
+        changed = self._take_whole(page.items, page.revision)
+        if self.is_alone:
+            self.is_alone = False
+            self.retained.enter(now, (), page.told, self.shelf)
+            changed += [each.item for each in self.retained.list_all()]
+            self._note_retained()
+        return changed
+
+    def _take_whole(
+        self, items: Iterable[_item.Item], revision: revisions.Revision
+    ) -> list[_item.Item]:
+        """Take all objects at a revision; absent ones are deleted."""
         items = list(items)
-        if revision.era > self.position.era:
-            return self._enter_era(items, revision)
         changed = self._put(items, True)
         present = [each.path for each in items if each.value is not None]
         absent = self.shelf.list_absent(revision, present)
@@ -137,25 +228,58 @@
         return self._end_whole(changed, revision)
 
     def _enter_era(
-        self, items: list[_item.Item], revision: revisions.Revision
+        self,
+        now: float,
+        era_seconds: float,
+        items: Iterable[_item.Item],
+        revision: revisions.Revision,
+        told: Iterable[_messages.Told],
     ) -> list[_item.Item]:
         """Begin anew with what the store has after its return.
 
-        Nothing of the former era can be compared with it: numbers were given
-        out again, and changes of either may be unknown to the other.
+        Numbers were given out again, and changes of either era may be unknown
+        to the other, so that nothing of the former one stays but what is
+        retained.
         """
-        former = self.shelf
-        self.shelf = shelf.Shelf(self._tombstones, revisions.NONE)
+        base = self.position
+        before = {each.path: each for each in self.list_items()}
+        known = {
+            each.path: each for each in self.shelf.list_after(revisions.NONE)
+        }
+        for each in self.retained.list_all():
+            known[each.item.path] = each.item
+        self.entered_at = now - era_seconds
+        self.shelf = shelf.Shelf(self._settings.tombstones, revisions.NONE)
         self.shelf.raise_floor(revision)
         self._put(items, True)
-        changed = [each for each in items if _differs(former, each)]
-        present = {each.path for each in items}
-        changed += [
-            _item.Item(each.path, revision, revision, None)
-            for each in former.list_after(revisions.NONE)
-            if each.value is not None and each.path not in present
-        ]
-        return self._end_whole(changed, revision)
+        self.retained.enter(now, known.values(), told, self.shelf)
+        self._end_whole([], revision)
+        if base != revisions.NONE:
+            self._note('era', era=revision.era, since=str(base))
+            self._has_former = True
+        self._note_retained()
+        return _list_differences(before, self.list_items(), revision)
+
+    def expire_retained(self) -> list[_item.Item]:
+        """Let the store's forms count that it has had for long enough.
+
+        :returns: the objects in the forms that don't count any more.
+        """
+        if not self.retained:
+            return []
+        expired = self.retained.expire(self.confirmed_at)
+        if expired:
+            names = [each.path for each in expired]
+            self._note('given-up', names=names[:_MOST_NAMES])
+        return expired
+
+    def take_notes(self) -> list[_effect.Note]:
+        """Take the lines that tell what has become of former eras.
+
+        :returns: those that were not taken yet.
+        """
+        notes, self._notes = self._notes, []
+        return notes
 
     def confirm(self, at: float) -> None:
         """Note that the store confirmed what is known here.
@@ -184,6 +308,8 @@
             is_snapshot,
             self.compute_age(now),
             tuple(items),
+            min(now - self.entered_at, _MOST_ERA_SECONDS),
+            self.retained.list_told(now) if is_snapshot else (),
         )
 
     def _put(
@@ -199,16 +325,41 @@
         return self._end(changed, revision)
 
     def _end(
-        self, changed: list[_item.Item], revision: revisions.Revision
+        self, changed: Iterable[_item.Item], revision: revisions.Revision
     ) -> list[_item.Item]:
+        changed = list(changed)
         self.shelf.advance(revision)
         self.is_complete = True
         self.sure_until = self.confirmed_at
         for each in changed:
             self._changed = max(self._changed, each.revision)
+        dropped = self.retained.review(changed, self.shelf)
+        if dropped:
+            self._note('written-again', names=dropped[:_MOST_NAMES])
         return changed
 
-
-def _differs(former: shelf.Shelf, item: _item.Item) -> bool:
-    known = former.get(item.path)
-    return known is None or known.value != item.value
+    def _note_retained(self) -> None:
+        names = [each.item.path for each in self.retained.list_all()]
+        if names:
+            self._note('retained', count=len(names), names=names[:_MOST_NAMES])
+
+    def _note(self, reason: str, **details: object) -> None:
+        self._notes.append(_effect.Note(reason, topic=self.name, **details))
+
+
+def _list_differences(
+    before: dict[str, _item.Item],
+    after: list[_item.Item],
+    revision: revisions.Revision,
+) -> list[_item.Item]:
+    """List what counts otherwise than before, deletions included."""
+    different = []
+    for item in after:
+        known = before.pop(item.path, None)
+        if known is None or known.value != item.value:
+            different.append(item)
+    gone = [
+        _item.Item(each.path, revision, each.created, None)
+        for each in before.values()
+    ]
+    return different + gone
--- a/skylarkfold/tests/platform/test_settings.py
+++ b/skylarkfold/tests/platform/test_settings.py
@@ -76,12 +76,16 @@
             'evacuate_ms': 4000,
             'cold_over': 1.5,
             'cold_slack': 5,
+            'config_apply_ms': 5000,
+            'unsettled_grace_ms': 15000,
         }
         settings = self.read(fields)
         self.assertEqual(('a', 'b', 'c'), settings.zones)
         self.assertEqual(4.0, settings.evacuation_seconds)
         self.assertEqual(1.5, settings.warm_up_factor)
         self.assertEqual(5.0, settings.warm_up_slack)
+        self.assertEqual(5.0, settings.change_seconds)
+        self.assertEqual(15.0, settings.disturbed_seconds)
 
     def test_what_is_not_bounded_is_not_followed(self):
         fields = build_fields()
@@ -90,6 +94,8 @@
         self.assertEqual((), settings.zones)
         self.assertIsNone(settings.evacuation_seconds)
         self.assertIsNone(settings.warm_up_slack)
+        self.assertEqual(3.0, settings.change_seconds)
+        self.assertEqual(12.0, settings.disturbed_seconds)
         own = forwarder.OwnSettings()
         forwarder.take_machine(own, settings)
         self.assertFalse(own.affinity.follows_evacuations)
