Soak, stand-in: the store comes back from an older copy

Cause: neither the stand-in nor the soak could lose what the store has acknowledged, which is how the incident came past them.

Change: the store's stand-in makes copies, goes back to one, gives revisions out again, answers a watch from one that it doesn't have with 410 and tells its era in all answers. What was in force before the store went must stay so: drains and evacuations are judged through it; no process may go back to an older version of the routes, by its lines. Entries count their beats. Users of the soak have a module of their own; a planned drain, a new upstream and a new route before a return must not fail a single request.

--- a/skylarkfold/soak/__main__.py
+++ b/skylarkfold/soak/__main__.py
@@ -25,6 +25,7 @@
     planned: bool = False,
     restarts: bool = True,
     evacuations: bool = True,
+    returns: bool = True,
     keep: str = '',
 ) -> None:
     """Run some seeds, one after the other.
@@ -37,6 +38,7 @@
     :param restarts: upstreams also start again under their names, and other
         writers leave entries.
     :param evacuations: zones are emptied and taken back.
+    :param returns: the store comes back from older copies.
     :param keep: a folder for settings and logs; one that is thrown away
         where left out.
     """
@@ -49,7 +51,13 @@
         with tempfile.TemporaryDirectory() as scratch:
             folder = pathlib.Path(keep or scratch)
             result = soak.run_seed(
-                seed, folder, seconds, planned, restarts, evacuations
+                seed,
+                folder,
+                seconds,
+                planned,
+                restarts,
+                evacuations,
+                returns,
             )
         word = 'broken' if result.broken else 'held'
         print(f'seed {seed}: {word}, {result.outcomes}', flush=True)
--- a/skylarkfold/soak/_judge.py
+++ b/skylarkfold/soak/_judge.py
@@ -31,6 +31,7 @@
         self._drained: dict[str, float] = {}
         self._evacuated: dict[str, float] = {}
         self._faults: list[tuple[float, float]] = []
+        self._returns: list[tuple[float, float]] = []
         self._allowed: dict[tuple[str, int], set[str]] = {}
 
     def allow(self, address: tuple[str, int], service: str) -> None:
@@ -41,6 +42,16 @@
         """Note an unplanned fault with its end."""
         self._faults.append((begun, ended))
 
+    def note_return(self, begun: float, ended: float) -> None:
+        """Note that the store is away, and comes back from an older copy.
+
+        What was in force before it went stays so.
+
+        :param begun: when it went.
+        :param ended: when it is back.
+        """
+        self._returns.append((begun, ended))
+
     def note_drain(self, name: str, now: float) -> None:
         """Note that the store has accepted a drain."""
         self._drained[name] = now
@@ -84,8 +95,17 @@
     def _is_late(self, since: float | None, now: float, bound: float) -> bool:
         if since is None or self._is_shadowed(since, now):
             return False
+        if self._is_unheard(since, bound):
+            return False
         return now - since > bound
 
+    def _is_unheard(self, since: float, bound: float) -> bool:
+        """Tell whether the store went before what it held was in force."""
+        return any(
+            begun <= since + bound and ended + SHADOW_SECONDS >= since
+            for begun, ended in self._returns
+        )
+
     def note_reset(self, now: float, upstream: packets.Upstream) -> None:
         """Note that an open flow got a reset from an instance."""
         if upstream.is_ended or self._is_shadowed(now, now):
--- a/skylarkfold/soak/_plan.py
+++ b/skylarkfold/soak/_plan.py
@@ -49,6 +49,9 @@
     'evacuations-foreign',
 )
 
+# Drawn apart as well: the store comes back from an older copy.
+RETURNS = ('store-returns',)
+
 
 class Step:
     """One event.
@@ -116,6 +119,24 @@
     return sorted(steps, key=lambda step: step.at)
 
 
+def draw_returns(seed: int, seconds: float) -> list[Step]:
+    """Draw returns of the store from older copies; two may be close.
+
+    :param seed: the seed; the same one draws the same steps.
+    :param seconds: how long traffic lasts.
+    :returns: steps in order.
+    """
+    generator = random.Random(f'{seed}/returns')
+    steps = []
+    for _ in range(generator.randint(1, 3)):
+        at = generator.uniform(2.0, 0.6 * seconds)
+        away = generator.uniform(0.3, 2.5)
+        steps.append(Step(at, RETURNS[0], away, 1.0))
+        if generator.random() < 0.3:
+            steps.append(Step(at + away + 0.7, RETURNS[0], 0.3, 1.0))
+    return sorted(steps, key=lambda step: step.at)
+
+
 def draw_plan(seed: int, seconds: float, planned_only: bool) -> list[Step]:
     """Draw a plan.
 
--- a/skylarkfold/soak/_run.py
+++ b/skylarkfold/soak/_run.py
@@ -8,8 +8,10 @@
 import re
 import signal
 
+from skylarkfold import explain
 from skylarkfold import reactor
 from skylarkfold.soak import _plan
+from skylarkfold.soak import _returns
 from skylarkfold.soak import _world
 from skylarkfold.standin import packets
 
@@ -71,6 +73,7 @@
     planned_only: bool = False,
     has_restarts: bool = False,
     has_evacuations: bool = False,
+    has_returns: bool = False,
 ) -> Result:
     """Run one seed.
 
@@ -82,6 +85,7 @@
     :param has_restarts: whether upstreams also start again under their
         names, and other writers leave entries.
     :param has_evacuations: whether zones are emptied and taken back.
+    :param has_returns: whether the store comes back from older copies.
     :returns: what it showed.
     """
     plan = _plan.draw_plan(seed, seconds, planned_only)
@@ -89,6 +93,8 @@
         plan += _plan.draw_restarts(seed, seconds)
     if has_evacuations:
         plan += _plan.draw_evacuations(seed, seconds)
+    if has_returns:
+        plan += _plan.draw_returns(seed, seconds)
     return run_plan(plan, seed, folder, seconds, planned_only)
 
 
@@ -150,19 +156,38 @@
             f'{instance.name} ended by itself with {status}'
             for status in instance.own_ends
         ]
-        if 'Traceback' in instance.read_log():
+        log = instance.read_log()
+        if 'Traceback' in log:
             broken.append(f'{instance.name} logged a failure')
+        broken += _list_falls(instance.name, log)
     for each in (*world.callers, *world.upstreams):
         if each.forged:
             broken.append(f'{each.forged} packets were not as written')
     return broken
 
 
+def _list_falls(name: str, log: str) -> list[str]:
+    """List where a process went back to an older version of the routes."""
+    broken = []
+    version = -1
+    for line in explain.read_lines(log.splitlines()):
+        if line.message == 'started':
+            version = -1
+        if line.message != 'routes':
+            continue
+        later = int(line.get('version'))
+        if later < version:
+            broken.append(f'{name} went back from {version} to {later}')
+        version = later
+    return broken
+
+
 class _Director:
     """Performs the steps of a plan."""
 
     def __init__(self, world: _world.World) -> None:
         self._world = world
+        self._returns = _returns.Returns(world)
         self._steps: dict[str, Callable[[_plan.Step], object]] = {
             'kill': self._kill,
             'freeze': self._freeze,
@@ -200,13 +225,18 @@
             'entries-foreign': self._write_foreign,
             'zone-evacuated': self._evacuate,
             'evacuations-foreign': self._write_foreign_evacuations,
+            'store-returns': lambda step: self._returns.come_back(
+                step.seconds
+            ),
         }
 
     def perform(self, step: _plan.Step) -> None:
         """Perform one step."""
+        now = self._world.loop.now()
         if step.kind in _plan.UNPLANNED:
-            now = self._world.loop.now()
             self._world.judge.note_fault(now, now + step.seconds)
+        if step.kind in _plan.RETURNS:
+            self._world.judge.note_return(now, now + step.seconds)
         self._steps[step.kind](step)
 
     def ask_versions(self) -> None:
--- a/skylarkfold/soak/_world.py
+++ b/skylarkfold/soak/_world.py
@@ -12,13 +12,11 @@
 from skylarkfold import reactor
 from skylarkfold.soak import _instance
 from skylarkfold.soak import _judge
+from skylarkfold.soak import _session
 from skylarkfold.standin import packets
 
 _PORTS = 10
 _LEAVE_SECONDS = 4.0
-_FLOW_REQUESTS = 12
-_DEADLINE_SECONDS = 2.0
-_RETRIES = 2
 # How often the end looks whether all requests have ended.
 _LOOK_SECONDS = 0.05
 
@@ -54,9 +52,14 @@
         self.store = packets.ObjectStore()
         self.instances: list[_instance.Instance] = []
         self.upstreams: list[packets.Upstream] = []
+        # Those whose entries were removed.
+        self.forgotten: set[packets.Upstream] = set()
         self.callers: list[packets.Caller] = []
+        self.routes = ROUTES
         self.version = 0
         self.has_probe_route = False
+        # The zones that are to be empty.
+        self.evacuated: set[str] = set()
         # No request begins any more, but those that have may be retried.
         self.is_ending = False
         self.is_over = False
@@ -101,6 +104,10 @@
     def configure(self) -> None:
         """Write a newer configuration."""
         self.version += self.random.randint(1, 5)
+        self.write_configuration()
+
+    def write_configuration(self) -> None:
+        """Write the newest configuration, once more if it was before."""
         routes = [*ROUTES]
         if self.has_probe_route:
             routes.append((PROBE_ADDRESS, 'desk', True))
@@ -186,10 +193,12 @@
 
     def register(self, upstream: packets.Upstream) -> None:
         """Write an upstream's entry."""
+        self.forgotten.discard(upstream)
         self.store.put('servers', upstream.name, upstream.describe())
 
     def forget(self, upstream: packets.Upstream) -> None:
         """Remove an upstream's entry."""
+        self.forgotten.add(upstream)
         self.store.delete('servers', upstream.name)
 
     def drain(self, upstream: packets.Upstream) -> None:
@@ -205,11 +214,13 @@
         :param zone: the zone.
         :param seconds: how long it is evacuated.
         """
+        self.evacuated.add(zone)
         self.store.put('evacuations', zone, {})
         self.judge.note_evacuation(zone, self.loop.now())
         self.loop.call_later(seconds, lambda: self._take_back(zone))
 
     def _take_back(self, zone: str) -> None:
+        self.evacuated.discard(zone)
         self.judge.note_evacuation(zone, None)
         self.store.delete('evacuations', zone)
 
@@ -241,7 +252,7 @@
         :param caller: the caller.
         :param zone: its zone.
         """
-        _Session(self, caller).begin()
+        _session.Session(self, caller).begin()
 
     def name_request(self) -> bytes:
         """Make a request that no other one is."""
@@ -276,7 +287,7 @@
     def finish(self) -> None:
         """Begin no more requests; stop once those that wait have ended."""
         self.is_ending = True
-        self._stop_by(self.loop.now() + _DEADLINE_SECONDS)
+        self._stop_by(self.loop.now() + _session.DEADLINE_SECONDS)
 
     def _stop_by(self, at: float) -> None:
         if not self.judge.waiting or self.loop.now() >= at:
@@ -337,69 +348,6 @@
             instance.send(signal.SIGKILL)
 
 
-class _Session:
-    """One user: request after request, with retries."""
-
-    def __init__(self, world: World, caller: packets.Caller) -> None:
-        self._world = world
-        self._caller = caller
-        address, _, may_repeat = world.random.choice(ROUTES)
-        self._address = address
-        self._may_repeat = may_repeat
-        self._flow = None
-        self._left = 0
-
-    def begin(self) -> None:
-        """Send the next request after a pause."""
-        if self._world.is_ending or self._world.is_over:
-            return
-        pause = self._world.random.uniform(0.05, 0.6)
-        self._world.loop.call_later(pause, self._ask_first)
-
-    def _ask_first(self) -> None:
-        if not self._world.is_ending:
-            self._ask(_RETRIES)
-
-    def _ask(self, retries: int) -> None:
-        world = self._world
-        if world.is_over:
-            return
-        if self._flow is None or self._flow.is_over or not self._left:
-            if self._flow is not None:
-                self._flow.finish()
-            self._flow = self._caller.open(self._address)
-            self._flow.was_reset = self._note_reset
-            self._left = world.random.randint(1, _FLOW_REQUESTS)
-        self._left -= 1
-        request = world.name_request()
-        if not self._may_repeat:
-            world.judge.note_once(request)
-        flow = self._flow
-        exchange = packets.Exchange(request)
-        world.judge.begin(exchange)
-        flow.request(
-            exchange,
-            _DEADLINE_SECONDS,
-            lambda exchange: self._take(flow, exchange, retries),
-        )
-
-    def _note_reset(self, flow: packets.Flow) -> None:
-        world = self._world
-        upstream = world.find_holder(flow)
-        if upstream is not None:
-            world.judge.note_reset(world.loop.now(), upstream)
-
-    def _take(self, flow, exchange, retries: int) -> None:
-        world = self._world
-        may_retry = self._may_repeat or not exchange.is_opened
-        if exchange.outcome != packets.ANSWERED and retries and may_retry:
-            world.judge.note_retry(exchange)
-            self._ask(retries - 1)
-            return
-        world.judge.take(exchange, self._address)
-        self.begin()
-
-
 def _find_port() -> int:
     """Find a port whose next ones are likely free as well."""
     with socket.socket() as free:
--- a/skylarkfold/standin/packets/__init__.py
+++ b/skylarkfold/standin/packets/__init__.py
@@ -12,6 +12,7 @@
 from skylarkfold.standin.packets._caller import Flow
 from skylarkfold.standin.packets._fabric import Fabric
 from skylarkfold.standin.packets._objects import ObjectStore
+from skylarkfold.standin.packets._objects import StoreCopy
 from skylarkfold.standin.packets._relay import FaultyRelay
 from skylarkfold.standin.packets._server import StoreServer
 from skylarkfold.standin.packets._settings import build_fields
@@ -27,6 +28,7 @@
     'FaultyRelay',
     'Flow',
     'ObjectStore',
+    'StoreCopy',
     'StoreServer',
     'Upstream',
     'build_fields',
--- a/skylarkfold/standin/packets/_objects.py
+++ b/skylarkfold/standin/packets/_objects.py
@@ -6,13 +6,29 @@
 from typing import Any
 
 
+class StoreCopy:
+    """What a store held at one moment.
+
+    :param revision: its counter.
+    :param objects: its objects, by kind and name.
+    """
+
+    def __init__(
+        self, revision: int, objects: dict[str, dict[str, dict[str, Any]]]
+    ) -> None:
+        self.revision = revision
+        self.objects = objects
+
+
 class ObjectStore:
     """Objects by kind and name under one revision counter.
 
+    :ivar era: how often it has come back from an older copy, and one.
     :ivar forgotten: changes up to this revision are no longer known.
     """
 
     def __init__(self) -> None:
+        self.era = 1
         self.revision = 1
         self.forgotten = 0
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
@@ -71,6 +87,38 @@
         gone['meta']['rev'] = self.revision
         self._history.append((kind, gone, True))
 
+    def copy(self) -> StoreCopy:
+        """Copy all that is stored."""
+        objects = {kind: dict(each) for kind, each in self._objects.items()}
+        return StoreCopy(self.revision, objects)
+
+    def restore(self, saved: StoreCopy) -> None:
+        """Go back to a copy: what was written since is lost.
+
+        Revisions are given out again from where it ends.
+
+        :param saved: the copy.
+        """
+        self.era += 1
+        self.revision = saved.revision
+        self._objects = {
+            kind: dict(each) for kind, each in saved.objects.items()
+        }
+        self._history = [
+            each
+            for each in self._history
+            if each[1]['meta']['rev'] <= saved.revision
+        ]
+        self.forgotten = min(self.forgotten, saved.revision)
+
+    def list_names(self, kind: str) -> list[str]:
+        """List the names of a kind's objects.
+
+        :param kind: the kind.
+        :returns: the names in order.
+        """
+        return sorted(self._objects.get(kind, {}))
+
     def forget(self) -> None:
         """Drop the history."""
         self.forgotten = self.revision
--- a/skylarkfold/standin/packets/_server.py
+++ b/skylarkfold/standin/packets/_server.py
@@ -113,7 +113,8 @@
             return
         if server.fault(self._stream.peer_host) == SILENT:
             return
-        if revision < server.store.forgotten:
+        store = server.store
+        if not store.forgotten <= revision <= store.revision:
             self._answer(410, {})
             return
         events = server.store.list_events(kind, revision)
@@ -129,6 +130,7 @@
         data = json.dumps(body).encode()
         head = (
             f'HTTP/1.1 {status} Answer\r\nContent-Type: application/json\r\n'
+            f'Store-Era: {self._server.store.era}\r\n'
             f'Content-Length: {len(data)}\r\n\r\n'
         )
         self._stream.write(head.encode() + data)
--- a/skylarkfold/standin/packets/_upstream.py
+++ b/skylarkfold/standin/packets/_upstream.py
@@ -65,6 +65,7 @@
         self.runs: list[bytes] = []
         self.opened = 0
         self.forged = 0
+        self.beats = 0
         self.is_draining = False
         self.is_ended = False
         self.work_seconds = 0.01
@@ -79,7 +80,8 @@
         self._listener = reactor.Listener(loop, address, _accept)
 
     def describe(self) -> dict[str, object]:
-        """Write its entry in the store."""
+        """Write its entry in the store, once more each time."""
+        self.beats += 1
         entry = {
             'service': self.service,
             'address': f'{self.address[0]}:{self.address[1]}',
@@ -88,7 +90,7 @@
             'max_concurrency': 2,
             'state': 'draining' if self.is_draining else 'ready',
             'warmup_left_ms': 0,
-            'sequence': 1,
+            'sequence': self.beats,
         }
         if self.born is not None:
             entry['born'] = self.born
--- a/skylarkfold/tests/soak/test_soak.py
+++ b/skylarkfold/tests/soak/test_soak.py
@@ -23,6 +23,7 @@
         seconds=SECONDS,
         has_restarts=False,
         has_evacuations=False,
+        has_returns=False,
     ):
         with tempfile.TemporaryDirectory() as scratch:
             result = soak.run_seed(
@@ -32,6 +33,7 @@
                 planned_only,
                 has_restarts,
                 has_evacuations,
+                has_returns,
             )
         self.assertEqual([], result.broken, f'{result.plan}')
         self.assertGreater(result.outcomes['answered'], 0)
@@ -66,6 +68,24 @@
     def test_evacuations_beside_faults_break_no_promise(self):
         self.run_seed(4, seconds=LATE_SECONDS, has_evacuations=True)
 
+    def test_returns_from_an_older_copy_break_no_promise(self):
+        self.run_seed(5, seconds=LATE_SECONDS, has_returns=True)
+
+    def test_a_return_fails_no_request(self):
+        plan = [
+            _plan.Step(1.0, 'drain', 0.0, 0.4),
+            _plan.Step(2.0, 'add-upstream', 0.0, 0.4),
+            _plan.Step(2.2, 'add-route', 0.0, 0.4),
+            _plan.Step(4.3, 'store-returns', 1.5, 1.0),
+        ]
+        with tempfile.TemporaryDirectory() as scratch:
+            folder = pathlib.Path(scratch)
+            result = soak.run_plan(
+                plan, 2, folder, LATE_SECONDS, planned_only=True
+            )
+        self.assertEqual([], result.broken)
+        self.assertGreater(result.outcomes['answered'], 0)
+
     def test_an_evacuation_fails_no_request(self):
         plan = [_plan.Step(1.0, 'zone-evacuated', 8.0, 0.4)]
         with tempfile.TemporaryDirectory() as scratch:
@@ -101,3 +121,9 @@
             for step in _plan.draw_evacuations(seed, 20.0)
         }
         self.assertEqual({*_plan.EVACUATIONS}, drawn)
+        drawn = {
+            step.kind
+            for seed in range(20)
+            for step in _plan.draw_returns(seed, 20.0)
+        }
+        self.assertEqual({*_plan.RETURNS}, drawn)
