Affinity: an open flow isn't ended for a route that may just not be known yet

An instance that knows only the copy from which the store came back lacks routes that others have. The first packet of a flow is passed over in silence then, but a flow that was open already was reset, while its upstream served. The same held for an instance behind in any outage.

Change: a flow whose route was never known here is passed on to its upstream until it is certain that there is no such route; one whose route was known and removed is ended at once, as before.

Conclusion: nothing is refused on knowledge that isn't certain any more, neither new nor open flows.

--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -175,7 +175,9 @@
                 return self._take_unknown(now, packet)
         elif not flow.is_open:
             self._open(now, flow, packet)
-        if self._routes.get(packet.address) is None and self.is_ready:
+        if self._routes.get(packet.address) is not None:
+            flow.is_routed = True
+        elif self._is_removed(now, flow):
             return self._take_removed(now, packet, flow)
         return self._carry(now, packet, flow)
 
@@ -240,6 +242,7 @@
             return self._refuse_crowded(packet, route, standing, expected)
         flow = _flow.Flow(packet.flow, standing, now)
         flow.is_idempotent = route.is_idempotent
+        flow.is_routed = True
         flow.first = packet.data
         self._flows.add(flow)
         return self._opener.send(
@@ -320,6 +323,20 @@
             return self._drop(Reason.NO_TOKEN)
         return self._hold(now, packet, Reason.TOKEN_UNKNOWN)
 
+    def _is_removed(self, now: float, flow: _flow.Flow) -> bool:
+        """Tell whether a flow's route is there no more.
+
+        One that was never known here may be too new for this instance:
+        whoever opened the flow knew it.
+        """
+        if not self.is_ready:
+            return False
+        return flow.is_routed or self._is_certain(now)
+
+    def _is_certain(self, now: float) -> bool:
+        """Tell whether all routes that there are were known just now."""
+        return now - self._confirmed_at <= self._settings.verdict_seconds
+
     def _take_removed(
         self, now: float, packet: _packet.Packet, flow: _flow.Flow
     ) -> list[object]:
@@ -331,8 +348,7 @@
     ) -> list[object]:
         # A route may be too new for this instance: only fresh knowledge
         # may say that there is none.
-        age = now - self._confirmed_at
-        if age > self._settings.verdict_seconds:
+        if not self._is_certain(now):
             return self._drop(Reason.ROUTE_UNKNOWN)
         return self._refuse(packet, Reason.NO_ROUTE)
 
--- a/skylarkfold/affinity/_flow.py
+++ b/skylarkfold/affinity/_flow.py
@@ -33,6 +33,7 @@
     :ivar first: its first packet, kept until it is open.
     :ivar tried: names of the upstreams that got its first packet.
     :ivar is_idempotent: whether its requests may run more than once.
+    :ivar is_routed: whether its route was known while it was carried here.
     :ivar is_counted: whether it counts for its upstream's load.
     :ivar is_busy: whether its upstream has a request of it.
     :ivar ahead: requests that its upstream had when it got the last one.
@@ -50,6 +51,7 @@
         'is_counted',
         'is_idempotent',
         'is_open',
+        'is_routed',
         'key',
         'placed_at',
         'seen_at',
@@ -73,6 +75,7 @@
         self.is_busy = False
         self.ahead = 0
         self.is_idempotent = False
+        self.is_routed = False
         self.waiting_since: float | None = None
         self.doubted_wait: float | None = None
         self.sent: int | None = None
--- a/skylarkfold/tests/affinity/test_token.py
+++ b/skylarkfold/tests/affinity/test_token.py
@@ -88,6 +88,35 @@
         effects = core.take_packet(0.2, packet)
         self.assertEqual([packet.flow], samples.list_resets(effects))
 
+    def test_a_route_that_is_not_known_yet_ends_no_flow(self):
+        # Whoever opened the flow knew it. What this instance knows is old,
+        # or a copy from which the store has come back.
+        upstream = samples.build_upstream(1)
+        core = affinity.AffinityCore(samples.ZONE, affinity.AffinitySettings())
+        core.set_routes(0.0, affinity.RouteTable(3, []))
+        core.set_upstreams(0.0, [upstream])
+        packet = samples.build_packet(1, upstream.token, length=10)
+        effects = core.take_packet(0.1, packet)
+        self.assertEqual([upstream.name], samples.list_forwards(effects))
+        # That it isn't there is certain now.
+        core.note_confirmed(0.2)
+        again = samples.build_packet(1, upstream.token, 111, length=10)
+        effects = core.take_packet(0.3, again)
+        self.assertEqual([packet.flow], samples.list_resets(effects))
+
+    def test_a_route_that_was_known_and_removed_ends_its_flows_at_once(self):
+        upstream = samples.build_upstream(1)
+        core = affinity.AffinityCore(samples.ZONE, affinity.AffinitySettings())
+        core.set_routes(0.0, affinity.RouteTable(3, []))
+        core.set_upstreams(0.0, [upstream])
+        packet = samples.build_packet(1, upstream.token, length=10)
+        core.take_packet(0.1, packet)
+        core.set_routes(0.2, samples.build_routes(4))
+        core.take_packet(0.3, packet)
+        core.set_routes(0.4, affinity.RouteTable(5, []))
+        effects = core.take_packet(0.5, packet)
+        self.assertEqual([packet.flow], samples.list_resets(effects))
+
     def test_other_weights_leave_open_flows_where_they_are(self):
         old = samples.build_upstream(1)
         new = samples.build_upstream(2, samples.OTHER_SERVICE)
