Relay: the age of the store's word is rounded up on its way, as others are

Cause: peers tell each other how old the store's last word is, rounded down to a millisecond, many times a second: passed on in circles it grows more slowly than the time. What is retained after the store's return ends by that word.

Change: rounded up.

Measured, virtual clock, seven instances, the store away for a minute: ages of 62.01 s before, 62.46 s now, which is what the last word was. The new test fails without it.

--- a/skylarkfold/relay/_codec.py
+++ b/skylarkfold/relay/_codec.py
@@ -383,7 +383,8 @@
 def _to_milliseconds(seconds: float | None) -> int:
     if seconds is None:
         return _NEVER_MILLISECONDS
-    return int(seconds * 1000)
+    # Rounded up, as other ages are.
+    return math.ceil(seconds * 1000)
 
 
 def _to_seconds(milliseconds: object) -> float | None:
--- a/skylarkfold/tests/relay/test_messages.py
+++ b/skylarkfold/tests/relay/test_messages.py
@@ -105,6 +105,17 @@
             self.assertGreaterEqual(again.ages[digest], age)
             self.assertLess(again.ages[digest], age + 0.1)
 
+    def test_how_old_the_store_s_word_is_is_never_told_as_less(self):
+        # Passed on in circles it would stay young, however long the store is
+        # away: what waits for its word would end.
+        for age in (0.0, 0.0004, 0.0016, 2.9999):
+            position = relay.Position(revisions.NONE, revisions.NONE, age)
+            beacon = relay.Beacon('n', 'z', 0, False, False, (position,))
+            again = relay.decode_beacon(relay.encode_beacon(beacon))
+            told = again.positions[0].age_seconds
+            self.assertGreaterEqual(told, age)
+            self.assertLess(told, age + 0.002)
+
     @hypothesis.given(
         REVISIONS,
         REVISIONS,
