--- a/skylarkfold/explain/_timeline.py
+++ b/skylarkfold/explain/_timeline.py
@@ -16,9 +16,13 @@
 _GAP_SECONDS = 1.0
 # Written all the time, whatever happens; of doubts, verdicts are told.
 _ORDINARY = frozenset({'open', 'known', 'counters', 'doubt'})
+# The same, among lines that tell of other things as well.
+_ORDINARY_REASONS = frozenset({'advanced'})
 _SHOWN_NAMES = 3
 # Lines about a whole zone; others name theirs only beside their subject.
 _OF_ZONES = 'evacuation'
+# Lines about what an instance knows of a topic.
+_OF_TOPICS = 'relay'
 
 
 class Entry:
@@ -30,7 +34,8 @@
     :ivar until: when the last was written.
     :ivar count: how many there are.
     :ivar instances: who wrote them.
-    :ivar subjects: the upstreams, dependencies or zones that they name.
+    :ivar subjects: the upstreams, dependencies, zones or topics that they
+        name.
     """
 
     __slots__ = ('at', 'count', 'instances', 'kind', 'subjects', 'until')
@@ -55,6 +60,8 @@
         subject = line.get('upstream') or line.get('name')
         if line.message == _OF_ZONES:
             subject = line.get('zone')
+        if line.message == _OF_TOPICS:
+            subject = line.get('topic')
         if subject:
             self.subjects[subject] = None
 
@@ -71,6 +78,7 @@
         (_clocks.adjust(line, clocks), line)
         for line in known
         if line.message not in _ORDINARY
+        and line.get('reason') not in _ORDINARY_REASONS
     ]
     timed.sort(key=lambda each: (each[0], each[1].place))
     entries: list[Entry] = []
@@ -97,7 +105,7 @@
 
 
 def _find_kind(line: _line.Line) -> tuple[str, ...]:
-    names = ('reason', 'probe', 'cause')
+    names = ('reason', 'era', 'probe', 'cause')
     details = [line.get(name) for name in names if line.get(name)]
     return (line.message, *details)
 
--- a/skylarkfold/tests/explain/test_timeline.py
+++ b/skylarkfold/tests/explain/test_timeline.py
@@ -69,6 +69,33 @@
         text = explain.format_entries([])
         self.assertIn('ordinary', text)
 
+    def test_a_return_of_the_store_is_an_entry_for_each_era(self):
+        def say(time, instance, reason, **fields):
+            return samples.write(
+                time, instance, 'relay', reason=reason, **fields
+            )
+
+        texts = [
+            say(1.0, 'a', 'era', topic='config', era=2, since='1:38'),
+            say(1.0, 'a', 'retained', topic='config', names=['main']),
+            say(1.1, 'b', 'era', topic='servers', era=2, since='1:38'),
+            say(1.2, 'b', 'advanced', topic='servers', since='2:1'),
+            say(1.6, 'b', 'era', topic='servers', era=3, since='2:1'),
+            say(9.0, 'a', 'given-up', topic='config', names=['main']),
+        ]
+        entries = self.list_entries(texts)
+        kinds = [each.kind for each in entries]
+        self.assertEqual(
+            [
+                ('relay', 'era', '2'),
+                ('relay', 'retained'),
+                ('relay', 'era', '3'),
+                ('relay', 'given-up'),
+            ],
+            kinds,
+        )
+        self.assertEqual(['config', 'servers'], list(entries[0].subjects))
+
     def test_clocks_that_differ_are_set(self):
         # The second instance's clock is an hour ahead.
         texts = [
