Distribution, client of the platform: revisions hold the store's era

Change: the client of the platform reads `Store-Era` and puts it above the number into each revision, so that positions, floors, tombstones, digests, labels of holders' lists, members' reports and `status` compare both at once; a watch that was asked from another era brings a listing. Era and number share 62 bits now, which messages between instances allow. `status` shows both apart. Settings and claims that the copy lacks or has in a lower version stay in force until they are written again, for 15 s of the store's word at most (`distribution.retained`, `distribution.given-up`). The platform's stand-in makes a copy (`PUT /copy`) and comes back from it (`PUT /return`).

--- a/skylarkfold/distribution/_core.py
+++ b/skylarkfold/distribution/_core.py
@@ -10,6 +10,7 @@
 from skylarkfold.distribution import _fetcher
 from skylarkfold.distribution import _messages
 from skylarkfold.distribution import _packing
+from skylarkfold.distribution import _retained
 from skylarkfold.distribution import _server
 from skylarkfold.distribution import _settings
 from skylarkfold import effect
@@ -50,6 +51,7 @@
         self._fetcher = _fetcher.Fetcher(settings)
         self._comparison = _comparison.Comparison(settings)
         self._server = _server.Server(settings, self._shelf)
+        self._retained = _retained.RetainedObjects(settings)
         self._neighbours: tuple[str, ...] = ()
         self._membership = member.EMPTY
         self._rank = 0
@@ -112,6 +114,7 @@
         effects += self._watch(now)
         effects += self._fetcher.retry(now, self._shelf.position)
         effects += self._server.serve(now)
+        effects += self._give_up()
         if now >= self._next_announcement:
             effects += self._announce(now)
         return effects
@@ -148,7 +151,7 @@
     def _(self, event_: event.WriteEnded, now: float) -> list[object]:
         if event_.current is None:
             return []
-        return self._keep([event_.current])
+        return self._keep(now, [event_.current])
 
     @_take.register
     def _(self, event_: event.PlatformAnswered, now: float) -> list[object]:
@@ -203,9 +206,9 @@
             malformed = effect.CountMetric(metric.DISTRIBUTION_MALFORMED)
             lost = self._fetcher.lose(sender, now, self._shelf.position)
             return [malformed, *lost]
-        effects = self._keep(objects)
+        effects = self._keep(now, objects)
         absent = self._fetcher.absorb(message, objects, self._shelf)
-        effects += self._keep(absent)
+        effects += self._keep(now, absent, is_absent=True)
         if message.is_last:
             self._wake()
             self._is_complete = True
@@ -218,32 +221,54 @@
     def _take_news(self, news: _feed.News, now: float) -> list[object]:
         if news.revision < self._shelf.position:
             return [effect.CountMetric(metric.DISTRIBUTION_STALE)]
-        effects = self._keep(news.objects, is_listed=news.is_listing)
+        effects = self._keep(now, news.objects, is_listed=news.is_listing)
         if news.is_listing:
-            effects += self._drop_absent(news)
+            effects += self._drop_absent(news, now)
         self._wake()
         self._is_complete = True
         self._confirmed = now
         return effects + self._advance(news.revision, now, '')
 
-    def _drop_absent(self, news: _feed.News) -> list[object]:
+    def _drop_absent(self, news: _feed.News, now: float) -> list[object]:
         present = (each.path for each in news.objects)
         absent = self._shelf.list_absent(news.revision, present)
         self._shelf.raise_floor(news.revision)
-        return self._keep(_bury(each, news.revision) for each in absent)
+        buried = [_bury(each, news.revision) for each in absent]
+        return self._keep(now, buried, is_absent=True)
 
     def _keep(
         self,
+        now: float,
         candidates: Iterable[stored.StoredObject],
         is_listed: bool = False,
+        is_absent: bool = False,
     ) -> list[object]:
-        kept = self._settings.kept_prefixes
-        return [
-            effect.PublishObject(each)
-            for each in candidates
-            if each.path.startswith(kept)
-            and self._shelf.put(each, is_listed=is_listed)
-        ]
+        effects: list[object] = []
+        for each in candidates:
+            if not each.path.startswith(self._settings.kept_prefixes):
+                continue
+            known = self._shelf.get(each.path)
+            if not self._shelf.put(each, is_listed=is_listed):
+                continue
+            if self._retained.stands(now, known, each, is_absent):
+                effects.append(
+                    effect.CountMetric(metric.DISTRIBUTION_RETAINED)
+                )
+            else:
+                effects.append(effect.PublishObject(each))
+        return effects
+
+    def _give_up(self) -> list[object]:
+        """Publish what the store has had for long enough."""
+        if self._confirmed is None:
+            return []
+        effects: list[object] = []
+        for path in self._retained.expire(self._confirmed):
+            effects.append(effect.CountMetric(metric.DISTRIBUTION_GIVEN_UP))
+            found = self._shelf.get(path)
+            if found is not None:
+                effects.append(effect.PublishObject(found))
+        return effects
 
     def _advance(self, revision: int, now: float, source: str) -> list[object]:
         if not self._shelf.advance(revision):
--- /dev/null
+++ b/skylarkfold/distribution/_retained.py
@@ -0,0 +1,88 @@
+"""Operators' objects that the platform's store has lost for now.
+
+When it comes back from an older copy, what was written since is gone until
+its operators write it again. What was in force stays so meanwhile.
+"""
+
+from __future__ import annotations
+
+from skylarkfold.distribution import _settings
+from skylarkfold import revision as revisions
+from skylarkfold import stored
+
+
+class RetainedObjects:
+    """Objects in a form of a former era that stand for the store's.
+
+    Of two forms the one of the higher version is the later one: an object's
+    versions only rise within an era, and what was lost is written again in
+    their order.
+
+    :param settings: what is retained, and how long.
+    """
+
+    __slots__ = ('_forms', '_settings')
+
+    def __init__(self, settings: _settings.DistributionSettings) -> None:
+        self._settings = settings
+        self._forms: dict[str, tuple[stored.StoredObject, float]] = {}
+
+    def stands(
+        self,
+        now: float,
+        known: stored.StoredObject | None,
+        candidate: stored.StoredObject,
+        is_absent: bool,
+    ) -> bool:
+        """Tell whether a known form stands for what the store has.
+
+        :param now: the time.
+        :param known: the form that was known; None for none.
+        :param candidate: the store's.
+        :param is_absent: whether the store only lacks the object: that it was
+            deleted is another matter.
+        :returns: whether the store's form is to be kept back.
+        """
+        path = candidate.path
+        if not path.startswith(self._settings.retained_prefixes):
+            return False
+        held = self._forms.get(path)
+        if held is None and known is not None and _is_former(known, candidate):
+            held = (known, now + self._settings.retain_seconds)
+        if held is None or not _is_later(held[0], candidate, is_absent):
+            self._forms.pop(path, None)
+            return False
+        self._forms[path] = held
+        return True
+
+    def expire(self, confirmed_at: float) -> list[str]:
+        """Let the store's forms count that it has had for long enough.
+
+        :param confirmed_at: when the store was last heard.
+        :returns: their paths.
+        """
+        over = [
+            path
+            for path, (_, until) in self._forms.items()
+            if confirmed_at > until
+        ]
+        for path in over:
+            del self._forms[path]
+        return over
+
+
+def _is_former(
+    known: stored.StoredObject, candidate: stored.StoredObject
+) -> bool:
+    era = revisions.get_era(known.revision)
+    return era < revisions.get_era(candidate.revision)
+
+
+def _is_later(
+    held: stored.StoredObject,
+    candidate: stored.StoredObject,
+    is_absent: bool,
+) -> bool:
+    if candidate.value is None:
+        return is_absent and held.value is not None
+    return candidate.version < held.version
--- a/skylarkfold/distribution/_settings.py
+++ b/skylarkfold/distribution/_settings.py
@@ -11,6 +11,11 @@
 
     :param prefix: what is watched at the platform, as one stream.
     :param kept_prefixes: objects elsewhere are dropped on arrival.
+    :param retained_prefixes: objects that operators write: one that the
+        store, back from an older copy, lacks or has in an older form stays as
+        it was until it is written again.
+    :param retain_seconds: or until the store has said after so long that it
+        still isn't: within 13 s a change is in force everywhere.
     :param watchers: how many instances of a zone watch the platform.
     :param substitutes: how many more may watch while no news comes.
     :param wait_seconds: how long the platform may hold a watch.
@@ -39,6 +44,8 @@
         '/tables/',
         '/leases/',
     )
+    retained_prefixes: tuple[str, ...] = ('/teams/', '/claims/')
+    retain_seconds: float = 15.0
     watchers: int = 2
     substitutes: int = 2
     wait_seconds: float = 10.0
--- a/skylarkfold/edge/_platform.py
+++ b/skylarkfold/edge/_platform.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import dataclasses
 import functools
 import urllib.parse
 
@@ -13,10 +14,14 @@
 from skylarkfold.edge import _runtime
 from skylarkfold.edge import _session
 from skylarkfold import effect
+from skylarkfold import errors
 from skylarkfold import event
 from skylarkfold import metric
+from skylarkfold import revision as revisions
 from skylarkfold import stored
 
+_ERA_HEADER = 'Store-Era'
+
 
 class _Object(msgspec.Struct):
     path: str
@@ -63,6 +68,7 @@
     412: stored.PlatformStatus.CONFLICT,
 }
 _UNKNOWN = stored.PlatformAnswer(stored.PlatformStatus.UNKNOWN)
+_REFUSED = stored.PlatformAnswer(stored.PlatformStatus.REFUSED)
 
 
 def _judge_status(status: int) -> stored.PlatformStatus:
@@ -103,9 +109,32 @@
     )
 
 
+def _stamp(answer: stored.PlatformAnswer, era: int) -> stored.PlatformAnswer:
+    """Put the store's era into all revisions of an answer."""
+    return dataclasses.replace(
+        answer,
+        revision=_place(answer.revision, era),
+        objects=tuple(
+            dataclasses.replace(each, revision=_place(each.revision, era))
+            for each in answer.objects
+        ),
+    )
+
+
+def _place(number: int, era: int) -> int:
+    if not 0 <= number <= revisions.MOST_NUMBER:
+        raise ValueError('a revision is out of range')
+    # Messages hold plain integers only.
+    return int(revisions.Revision(number, era))
+
+
 class PlatformClient:
     """Performs calls to the platform.
 
+    Revisions in answers hold the store's era, so that they order all that it
+    ever said; one that doesn't say it is taken to be in the era that it said
+    last.
+
     :param url: the API's base URL.
     :param token: sent as a bearer token; empty for none.
     """
@@ -116,6 +145,7 @@
         if token:
             self._headers['Authorization'] = f'Bearer {token}'
         self._session: aiohttp.ClientSession | None = None
+        self._era = 0
 
     async def open(self) -> None:
         """Make the connection pool."""
@@ -141,7 +171,7 @@
                 return await self._perform(request)
         except (aiohttp.ClientError, OSError, TimeoutError):
             return _UNKNOWN
-        except (msgspec.MsgspecError, ValueError):
+        except (msgspec.MsgspecError, ValueError, errors.DecodeError):
             return _UNKNOWN
 
     @functools.singledispatchmethod
@@ -165,11 +195,17 @@
         query = urllib.parse.urlencode(
             {
                 'prefix': request.prefix,
-                'revision': request.revision,
+                'revision': revisions.get_number(request.revision),
                 'wait': request.wait_seconds,
             }
         )
-        return await self._get(f'/watch?{query}', _convert_objects)
+        answer = await self._get(f'/watch?{query}', _convert_objects)
+        era = revisions.get_era(request.revision)
+        if revisions.get_era(answer.revision) > era:
+            # What the store has from where its copy ends up to the number
+            # that was asked from isn't in it: all has to be listed.
+            return _REFUSED
+        return answer
 
     @_perform.register
     async def _(self, request: stored.ListInstances) -> stored.PlatformAnswer:
@@ -191,17 +227,27 @@
         ) as response:
             body = await response.read()
             status = _judge_status(response.status)
+            era = self._read_era(response)
         if status is not stored.PlatformStatus.OK or not body:
             return stored.PlatformAnswer(status)
-        return _convert_object(body)
+        return _stamp(_convert_object(body), era)
+
+    def _read_era(self, response: aiohttp.ClientResponse) -> int:
+        text = response.headers.get(_ERA_HEADER)
+        if text is None:
+            return self._era
+        era = revisions.read_era(text)
+        self._era = max(self._era, era)
+        return era
 
     async def _get(self, path: str, convert) -> stored.PlatformAnswer:
         async with self._session.get(self._url + path) as response:
             body = await response.read()
             status = _judge_status(response.status)
+            era = self._read_era(response)
         if status is not stored.PlatformStatus.OK:
             return stored.PlatformAnswer(status)
-        return convert(body)
+        return _stamp(convert(body), era)
 
     def _quote(self, path: str) -> str:
         return urllib.parse.quote(path, safe='/:')
--- a/skylarkfold/measure/_control_platform.py
+++ b/skylarkfold/measure/_control_platform.py
@@ -7,6 +7,7 @@
 import functools
 import random
 
+from skylarkfold import revision as revisions
 from skylarkfold import stored
 
 OK = stored.PlatformStatus.OK
@@ -35,7 +36,8 @@
         self.is_down = False
         self.lost_share = 0.0
         self.stale_share = 0.0
-        self.revision = 0
+        self.era = 0
+        self.number = 0
         self.compacted = 0
         self.reads = 0
         self.writes = 0
@@ -49,8 +51,8 @@
     ) -> stored.StoredObject:
         """Write an object and answer the watches that wait for it."""
         self.writes += 1
-        self.revision += 1
-        current = self._read(path, self.revision)
+        self.number += 1
+        current = self._read(path, self.number)
         version = 1 if current is None else current.version + 1
         written = stored.StoredObject(path, version, self.revision, value)
         self._history.append(written)
@@ -58,6 +60,31 @@
             self._wake(now)
         return written
 
+    @property
+    def revision(self) -> int:
+        """Where its history is."""
+        return int(revisions.Revision(self.number, self.era))
+
+    def restore(self, number: int) -> None:
+        """Come back, in a new era, from a copy that ends at a number.
+
+        :param number: of the revision; what was written since is lost.
+        """
+        self.era += 1
+        self.number = number
+        self.compacted = min(self.compacted, number)
+        self._history = [
+            dataclasses.replace(
+                each,
+                revision=int(
+                    revisions.Revision(
+                        revisions.get_number(each.revision), self.era
+                    )
+                ),
+            )
+            for each in self._history[:number]
+        ]
+
     def list_current(self) -> dict[str, stored.StoredObject]:
         """List the newest form of each object, deleted ones included."""
         return {each.path: each for each in self._history}
@@ -120,7 +147,8 @@
         deadline = now + request.wait_seconds
         watch = _Watch(request.prefix, request.revision, deadline, answer)
         is_stale = self._random.random() < self.stale_share
-        if request.revision < self.compacted:
+        is_known = self._is_known(request.revision)
+        if not is_known:
             refused = stored.PlatformStatus.REFUSED
             answer(now, stored.PlatformAnswer(refused))
         elif is_stale or self.revision > request.revision:
@@ -128,12 +156,22 @@
         else:
             self._watches.append(watch)
 
+    def _is_known(self, revision: int) -> bool:
+        """Tell whether a watch may begin at a revision."""
+        number = revisions.get_number(revision)
+        is_same_era = revisions.get_era(revision) == self.era
+        return is_same_era and self.compacted <= number <= self.number
+
     def _wake(self, now: float) -> None:
         waiting, self._watches = self._watches, []
         for watch in waiting:
             self._answer_watch(now, watch)
 
     def _answer_watch(self, now: float, watch: _Watch) -> None:
+        if not self._is_known(watch.revision):
+            refused = stored.PlatformStatus.REFUSED
+            watch.answer(now, stored.PlatformAnswer(refused))
+            return
         revision = self._choose_revision()
         objects = tuple(
             each
@@ -146,15 +184,17 @@
 
     def _choose_revision(self) -> int:
         if self._random.random() < self.stale_share:
-            return self._random.randint(self.compacted, self.revision)
+            number = self._random.randint(self.compacted, self.number)
+            return int(revisions.Revision(number, self.era))
         return self.revision
 
     def _list_at(self, revision: int) -> dict[str, stored.StoredObject]:
-        # Revisions are counted from 1 without gaps.
-        return {each.path: each for each in self._history[:revision]}
+        # Numbers are counted from 1 without gaps.
+        number = revisions.get_number(revision)
+        return {each.path: each for each in self._history[:number]}
 
-    def _read(self, path: str, revision: int) -> stored.StoredObject | None:
-        found = self._list_at(revision).get(path)
+    def _read(self, path: str, number: int) -> stored.StoredObject | None:
+        found = self._list_at(number).get(path)
         if found is None or found.value is None:
             return None
         return found
--- a/skylarkfold/platform/_store.py
+++ b/skylarkfold/platform/_store.py
@@ -23,7 +23,6 @@
 _GONE = 410
 # How often the store has come back from an older copy; in all its answers.
 _ERA_HEADER = 'store-era'
-_MOST_ERA_DIGITS = 9
 # 429 and 503 say that nothing was done.
 _REFUSALS = (429, 503)
 
@@ -124,11 +123,7 @@
     text = reply.headers.get(_ERA_HEADER)
     if text is None:
         return call.era
-    digits = text.strip()
-    is_number = digits.isascii() and digits.isdecimal()
-    if not is_number or len(digits) > _MOST_ERA_DIGITS:
-        raise errors.DecodeError('the era is no number')
-    return int(digits)
+    return revisions.read_era(text)
 
 
 def _decode(
--- a/skylarkfold/revision.py
+++ b/skylarkfold/revision.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
-_ERA_BITS = 62
-# The numbers that fit; a store that writes a million times a second gets
-# there after 146,000 years.
-MOST_NUMBER = (1 << _ERA_BITS) - 1
-MOST_ERA = (1 << 31) - 1
+from skylarkfold import errors
+
+# Both together fit into the 62 bits that messages allow for a number. A store
+# that writes a hundred thousand times a second gets to the end of an era
+# after ninety years.
+_NUMBER_BITS = 48
+_ERA_BITS = 14
+MOST_NUMBER = (1 << _NUMBER_BITS) - 1
+MOST_ERA = (1 << _ERA_BITS) - 1
+_MOST_ERA_DIGITS = len(str(MOST_ERA))
 
 
 class Revision(int):
@@ -25,20 +30,55 @@
     __slots__ = ()
 
     def __new__(cls, number: int = 0, era: int = 0) -> Revision:
-        return super().__new__(cls, era << _ERA_BITS | number)
+        return super().__new__(cls, era << _NUMBER_BITS | number)
 
     @property
     def era(self) -> int:
         """The era."""
-        return int(self) >> _ERA_BITS
+        return get_era(int(self))
 
     @property
     def number(self) -> int:
         """The store's counter in that era."""
-        return int(self) & MOST_NUMBER
+        return get_number(int(self))
 
     def __repr__(self) -> str:
         return f'{self.era}:{self.number}'
 
 
 NONE = Revision()
+
+
+def get_era(revision: int) -> int:
+    """Tell the era of a revision that came as a plain integer.
+
+    :param revision: the integer.
+    :returns: the era.
+    """
+    return revision >> _NUMBER_BITS
+
+
+def get_number(revision: int) -> int:
+    """Tell the store's counter of one that came as a plain integer.
+
+    :param revision: the integer.
+    :returns: the counter.
+    """
+    return revision & MOST_NUMBER
+
+
+def read_era(text: str) -> int:
+    """Read an era as the store writes it.
+
+    :param text: digits.
+    :returns: the era.
+    :raises DecodeError: if it is no number that fits.
+    """
+    digits = text.strip()
+    is_number = digits.isascii() and digits.isdecimal()
+    if not is_number or len(digits) > _MOST_ERA_DIGITS:
+        raise errors.DecodeError('the era is no number')
+    era = int(digits)
+    if era > MOST_ERA:
+        raise errors.DecodeError('the era is out of range')
+    return era
--- a/skylarkfold/standin/_platform.py
+++ b/skylarkfold/standin/_platform.py
@@ -23,7 +23,8 @@
 # A value travels as base64 within JSON.
 MAXIMUM_BODY_BYTES = 2 * MAXIMUM_VALUE_BYTES
 JSON_TYPE = 'application/json'
-UNCOUNTED = ('/faults', '/counts', '/rights')
+UNCOUNTED = ('/faults', '/counts', '/rights', '/copy', '/return')
+ERA_HEADER = 'Store-Era'
 ZONE_PREFIX = '/via/{zone}'
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -103,8 +104,9 @@
 
     Each route is there under ``/via/ZONE`` too, so that one zone can be
     cut off: ``PUT /via/ZONE/faults`` sets what that zone sees in place
-    of what all see. ``PUT /rights`` names the team of each token; after
-    that a team's subtree is written with its token only.
+    of what all see. ``PUT /copy`` makes a copy of the store, and ``PUT
+    /return`` has it come back from that. ``PUT /rights`` names the team of
+    each token; after that a team's subtree is written with its token only.
 
     :param kept_changes: how many last changes a watch can still see.
     """
@@ -115,6 +117,7 @@
         self.store = _store.ObjectStore(kept_changes)
         self._faults = {'': _faults.Faults()}
         self._stale: dict[str, _store.ObjectStore] = {}
+        self._saved = self.store.copy()
         self._instances = _instances.InstanceRegistry()
         self._changed = asyncio.Event()
 
@@ -160,6 +163,8 @@
             web.get(f'{prefix}/faults', self._show_faults),
             web.put(f'{prefix}/faults', self._set_faults),
             web.get(f'{prefix}/counts', self._show_counts),
+            web.put(f'{prefix}/copy', self._copy),
+            web.put(f'{prefix}/return', self._return),
         ]
 
     def _find_origin(self, request: web.Request) -> str:
@@ -179,6 +184,17 @@
         if call in UNCOUNTED or is_operator:
             return await handler(request)
         self._count(request, call)
+        try:
+            answer = await self._answer_call(request, handler)
+        except web.HTTPException as error:
+            error.headers[ERA_HEADER] = str(self.store.era)
+            raise
+        answer.headers[ERA_HEADER] = str(self.store.era)
+        return answer
+
+    async def _answer_call(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
         delay_ms = self._get_faults(request).delay_ms
         if delay_ms:
             await asyncio.sleep(delay_ms / 1000)
@@ -344,6 +360,15 @@
             raise web.HTTPBadRequest(text=str(error)) from error
         return web.json_response(self.rights)
 
+    async def _copy(self, request: web.Request) -> web.Response:
+        self._saved = self.store.copy()
+        return web.json_response({'revision': self._saved.revision})
+
+    async def _return(self, request: web.Request) -> web.Response:
+        self.store = self.store.restore(self._saved)
+        self._wake_watches()
+        return web.json_response({'era': self.store.era})
+
     async def _show_counts(self, request: web.Request) -> web.Response:
         return web.json_response(self.counts)
 
--- a/skylarkfold/standin/_store.py
+++ b/skylarkfold/standin/_store.py
@@ -24,9 +24,10 @@
     """
 
     __slots__ = ('_changes', '_compacted', '_kept_changes', '_objects')
-    __slots__ += ('revision',)
+    __slots__ += ('era', 'revision')
 
     def __init__(self, kept_changes: int = KEPT_CHANGES) -> None:
+        self.era = 1
         self.revision = 0
         self._kept_changes = kept_changes
         self._objects: dict[str, stored.StoredObject] = {}
@@ -91,9 +92,10 @@
         :param prefix: the subtree.
         :param revision: the last revision already seen.
         :returns: each changed object once, in its last state, by revision.
-        :raises CompactedError: if changes after it are no longer kept.
+        :raises CompactedError: if changes after it are no longer kept, or it
+            is none that there has been.
         """
-        if revision < self._compacted:
+        if not self._compacted <= revision <= self.revision:
             raise CompactedError
         last = {each.path: each for each in self._find(prefix, revision)}
         return sorted(last.values(), key=lambda each: each.revision)
@@ -105,6 +107,16 @@
             if change.revision > revision and change.path.startswith(prefix):
                 yield change
 
+    def restore(self, saved: ObjectStore) -> ObjectStore:
+        """Make the store that comes back from a copy, in an era of its own.
+
+        :param saved: the copy.
+        :returns: the store: what was written since the copy is lost.
+        """
+        other = saved.copy()
+        other.era = self.era + 1
+        return other
+
     def copy(self) -> ObjectStore:
         """Copy the store as it is at present."""
         other = copy.copy(self)
--- a/skylarkfold/teams/_status.py
+++ b/skylarkfold/teams/_status.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from skylarkfold import member
+from skylarkfold import revision as revisions
 from skylarkfold import settings
 from skylarkfold.teams import _claim
 from skylarkfold.teams import _settlement
@@ -45,13 +46,17 @@
     :param name: the instance.
     :param zone: its availability zone.
     :param state: how it is seen.
-    :param revision: the revision in force there, as last reported.
+    :param era: the era of the store that is known there: how often it has
+        come back from an older copy.
+    :param revision: the revision of that era in force there, as last
+        reported.
     :param missing: how many teams' last versions it does not have yet.
     """
 
     name: str
     zone: str
     state: str
+    era: int
     revision: int
     missing: int
 
@@ -128,5 +133,10 @@
 ) -> InstanceLag:
     missing = sum(subtree.revision > each.revision for subtree in subtrees)
     return InstanceLag(
-        each.name, each.zone, each.state.value, each.revision, missing
+        each.name,
+        each.zone,
+        each.state.value,
+        revisions.get_era(each.revision),
+        revisions.get_number(each.revision),
+        missing,
     )
--- a/skylarkfold/tests/distribution/test_convergence.py
+++ b/skylarkfold/tests/distribution/test_convergence.py
@@ -115,7 +115,12 @@
 
     @stateful.rule()
     def compact(self):
-        self.platform.compacted = self.platform.revision
+        self.platform.compacted = self.platform.number
+
+    @stateful.rule(lost=strategies.integers(0, 6))
+    def come_back_older(self, lost):
+        """The platform comes back from a copy that lacks some writes."""
+        self.platform.restore(max(0, self.platform.number - lost))
 
     @stateful.rule(loss=strategies.sampled_from((0.0, 0.01, 0.3)))
     def lose_messages(self, loss):
--- a/skylarkfold/tests/distribution/test_core.py
+++ b/skylarkfold/tests/distribution/test_core.py
@@ -7,6 +7,7 @@
 from skylarkfold import endpoint
 from skylarkfold import event
 from skylarkfold import instance
+from skylarkfold import revision as revisions
 from skylarkfold import stored
 
 OK = stored.PlatformStatus.OK
@@ -221,3 +222,95 @@
         fetch = distribution.Fetch(7, 0)
         self.assertEqual([effect.SendToPeer('a3', fetch)], sent)
         self.assertEqual(7, core.revision)
+
+
+class ReturnTest(testtools.TestCase):
+    """The platform's store comes back from a copy some seconds old.
+
+    Seen in the design, by no run: an instance went back to the settings that
+    the copy holds, until their operator applied the newer ones again.
+    """
+
+    PATH = '/teams/desk/settings'
+
+    def build(self, number, era, version):
+        """Build the settings as the store has them."""
+        revision = int(revisions.Revision(number, era))
+        return stored.StoredObject(
+            self.PATH, version, revision, f'v{version}'.encode()
+        )
+
+    def list_all(self, core, now, found):
+        """List the settings; give what is published of them."""
+        effects = load(core, now, found.revision, found)
+        return [
+            each.stored.value
+            for each in list_of(effect.PublishObject, effects)
+        ]
+
+    def test_what_is_written_after_a_return_counts(self):
+        core = build_core()
+        self.list_all(core, 0.0, self.build(38, 1, 3))
+        refuse(core, 1.0)
+        published = self.list_all(core, 2.0, self.build(26, 2, 4))
+        self.assertEqual([b'v4'], published)
+        self.assertEqual(int(revisions.Revision(26, 2)), core.revision)
+
+    def test_settings_that_were_in_force_don_t_go_back(self):
+        core = build_core()
+        self.list_all(core, 0.0, self.build(38, 1, 3))
+        refuse(core, 1.0)
+        published = self.list_all(core, 2.0, self.build(26, 2, 2))
+        self.assertEqual([], published)
+        refuse(core, 3.0)
+        published = self.list_all(core, 4.0, self.build(27, 2, 3))
+        self.assertEqual([b'v3'], published)
+
+    def test_settings_that_are_never_written_again_end(self):
+        core = build_core(announce_seconds=100.0)
+        self.list_all(core, 0.0, self.build(38, 1, 3))
+        refuse(core, 1.0)
+        self.list_all(core, 2.0, self.build(26, 2, 2))
+        for now in (8.0, 14.0):
+            refuse(core, now)
+            found = self.build(26, 2, 2)
+            self.assertEqual([], self.list_all(core, now + 1.0, found))
+        refuse(core, 17.5)
+        self.list_all(core, 18.5, self.build(26, 2, 2))
+        effects = core.handle(18.6, event.Tick())
+        (published,) = list_of(effect.PublishObject, effects)
+        self.assertEqual(b'v2', published.stored.value)
+
+    def test_settings_that_the_copy_lacks_stay(self):
+        core = build_core()
+        self.list_all(core, 0.0, self.build(38, 1, 3))
+        refuse(core, 1.0)
+        effects = load(core, 2.0, int(revisions.Revision(26, 2)))
+        self.assertEqual([], list_of(effect.PublishObject, effects))
+        counted = [each.name for each in list_of(effect.CountMetric, effects)]
+        self.assertIn('distribution.retained', counted)
+
+    def test_settings_that_are_deleted_after_a_return_are_gone(self):
+        core = build_core()
+        self.list_all(core, 0.0, self.build(38, 1, 3))
+        refuse(core, 1.0)
+        self.list_all(core, 2.0, self.build(26, 2, 2))
+        (call,) = list_of(effect.CallPlatform, core.handle(3.0, event.Tick()))
+        revision = int(revisions.Revision(27, 2))
+        gone = stored.StoredObject(self.PATH, 3, revision, None)
+        answer = stored.PlatformAnswer(OK, (gone,), revision)
+        effects = core.handle(3.1, event.PlatformAnswered(call.call, answer))
+        (published,) = list_of(effect.PublishObject, effects)
+        self.assertIsNone(published.stored.value)
+
+    def test_what_the_system_writes_is_as_the_store_has_it(self):
+        core = build_core()
+        first = int(revisions.Revision(38, 1))
+        table = stored.StoredObject('/tables/desk', 3, first, b'new')
+        load(core, 0.0, first, table)
+        refuse(core, 1.0)
+        later = int(revisions.Revision(26, 2))
+        older = stored.StoredObject('/tables/desk', 2, later, b'old')
+        effects = load(core, 2.0, later, older)
+        (published,) = list_of(effect.PublishObject, effects)
+        self.assertEqual(b'old', published.stored.value)
--- a/skylarkfold/tests/edge/test_platform.py
+++ b/skylarkfold/tests/edge/test_platform.py
@@ -1,12 +1,15 @@
 """Tests of the platform client against the stand-in."""
 
 import contextlib
+from unittest import mock
 
 import testtools
 
 from skylarkfold import edge
+from skylarkfold import revision as revisions
 from skylarkfold import standin
 from skylarkfold.standin import _daemon
+from skylarkfold.standin import _platform
 from skylarkfold import stored
 from skylarkfold.tests.edge import fixture
 
@@ -29,6 +32,11 @@
         await runner.cleanup()
 
 
+def place(number, era=1):
+    """Place a number in the store's history."""
+    return int(revisions.Revision(number, era))
+
+
 def write(value, version, path='/teams/desk/settings'):
     return stored.WriteObject(path, value, version)
 
@@ -44,7 +52,7 @@
                     stored.ReadObject('/teams/desk/settings'),
                     stored.ReadObject('/none'),
                     stored.ListObjects('/teams/'),
-                    stored.WatchObjects('/', 1, 1.0),
+                    stored.WatchObjects('/', place(1), 1.0),
                     write(None, 2),
                 ]
                 return [await client.call(each, 5.0) for each in calls]
@@ -54,10 +62,50 @@
         conflict = stored.PlatformStatus.CONFLICT
         missing = stored.PlatformStatus.NOT_FOUND
         self.assertEqual([OK, conflict, OK, OK, missing, OK, OK, OK], statuses)
-        expected = stored.StoredObject('/teams/desk/settings', 2, 2, b'two')
+        expected = stored.StoredObject(
+            '/teams/desk/settings', 2, place(2), b'two'
+        )
         for index in (2, 3, 5, 6):
             self.assertEqual((expected,), answers[index].objects)
-        self.assertEqual(2, answers[5].revision)
+        self.assertEqual(place(2), answers[5].revision)
+
+    def test_after_a_return_revisions_are_later_though_numbers_are_lower(self):
+        async def check():
+            async with open_client() as (platform, client):
+                await client.call(write(b'one', 0), 5.0)
+                saved = platform.store.copy()
+                await client.call(write(b'two', 1), 5.0)
+                await client.call(write(b'three', 2), 5.0)
+                before = await client.call(stored.ListObjects('/'), 5.0)
+                platform.store = platform.store.restore(saved)
+                watch = stored.WatchObjects('/', before.revision, 0.1)
+                watched = await client.call(watch, 5.0)
+                for version in (1, 2, 3):
+                    await client.call(write(b'x', version), 5.0)
+                again = await client.call(watch, 5.0)
+                after = await client.call(stored.ListObjects('/'), 5.0)
+                return before, watched, again, after
+
+        before, watched, again, after = fixture.run(check())
+        self.assertEqual(place(3), before.revision)
+        # One that the store doesn't have, then one that it has given to
+        # something else since.
+        refused = stored.PlatformStatus.REFUSED
+        self.assertEqual([refused] * 2, [watched.status, again.status])
+        self.assertEqual(place(4, era=2), after.revision)
+        self.assertEqual(place(4, era=2), after.objects[0].revision)
+
+    def test_an_answer_without_an_era_is_of_the_last_one(self):
+        async def check():
+            async with open_client() as (platform, client):
+                await client.call(write(b'one', 0), 5.0)
+                platform.store = platform.store.restore(platform.store.copy())
+                await client.call(stored.ListObjects('/'), 5.0)
+                with mock.patch.object(_platform, 'ERA_HEADER', 'X-Other'):
+                    return await client.call(stored.ListObjects('/'), 5.0)
+
+        answer = fixture.run(check())
+        self.assertEqual(place(1, era=2), answer.revision)
 
     def test_lost_answer_is_unknown_and_took_effect(self):
         async def check():
--- a/skylarkfold/tests/test_operators.py
+++ b/skylarkfold/tests/test_operators.py
@@ -13,6 +13,7 @@
 from skylarkfold import _commands
 from skylarkfold import edge
 from skylarkfold import errors
+from skylarkfold import revision as revisions
 from skylarkfold import service
 from skylarkfold import standin
 from skylarkfold.standin import _daemon
@@ -155,11 +156,14 @@
     def test_status_names_who_lags(self):
         path = self.write('desk.json', SETTINGS % 7000)
         self.run_command(self.commands.apply, path, platform=self.server.url)
+        # One stands where the store was before it came back older.
+        known = int(revisions.Revision(100, 1))
+        former = int(revisions.Revision(200, 0))
         members = [
-            edge.MemberStatus('a1', 'z', 'alive', 100),
-            edge.MemberStatus('a2', 'z', 'alive', 0),
+            edge.MemberStatus('a1', 'z', 'alive', known),
+            edge.MemberStatus('a2', 'z', 'alive', former),
         ]
-        status = edge.InstanceStatus('a1', True, 100, [], members, {})
+        status = edge.InstanceStatus('a1', True, known, [], members, {})
         with self.serve_status(status) as address:
             output = self.run_command(
                 self.commands.status, self.server.url, address
@@ -168,6 +172,18 @@
             line for line in output.splitlines() if line.startswith('desk')
         )
         self.assertIn("('a2',)", row)
+        rows = [
+            line.split()[:5]
+            for line in output.splitlines()
+            if line.startswith('a')
+        ]
+        self.assertEqual(
+            [
+                ['a1', 'z', 'alive', '1', '100'],
+                ['a2', 'z', 'alive', '0', '200'],
+            ],
+            rows,
+        )
 
     @contextlib.contextmanager
     def serve_status(self, status):
