Flows: a bucket table that the store has lost is written again

Cause: found while each place that compares what the store counts was listed. Bucket tables went by the version that the store counts for their object, which goes back when the store does. Instances kept the table in force, rightly, but wrote the next one on condition of the lost version: refused for good, so that no drain, death or addition of an upstream reached the table any more.

Change: a table holds a serial of its own, by which instances go; what the store has is noted apart, and is what a write expects. Where its serial is below that in force, the instance in charge writes the table again, as it does with any. Tables of before have none: their version stands for it.

Measured: two tests on the virtual clock, four instances, 400 flows: without it a drain after the return never takes effect, with it it does, and no flow is broken; a table that the copy lacks is there again with the same content.

--- a/skylarkfold/flows/_catalog.py
+++ b/skylarkfold/flows/_catalog.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import contextlib
+import msgspec
 
 from skylarkfold import configuration as configuration_module
 from skylarkfold import endpoint
-from skylarkfold import errors
 from skylarkfold.flows import _settings
 from skylarkfold.flows import _state
 from skylarkfold.flows import _table
@@ -24,7 +23,9 @@
         self.states: dict[str, _state.ServiceState] = {}
         self._settings = settings
         self._names: dict[endpoint.Endpoint, str] = {}
-        self._stored: dict[str, stored.StoredObject] = {}
+        # Of each table the newest form, and what the store has of it.
+        self._newest: dict[str, _table.BucketTable] = {}
+        self._in_store: dict[str, _state.StoredTable] = {}
         self._has_configuration = False
 
     def get(self, name: str) -> _state.ServiceState | None:
@@ -70,12 +71,12 @@
         is_older = not self._has_configuration
         state = _state.ServiceState(service, table, self._settings, is_older)
         self.states[service.name] = state
-        known = self._stored.get(service.name)
-        if known is None:
-            return
-        # A table that can't be read was counted when it came.
-        with contextlib.suppress(errors.DecodeError):
-            self._adopt(now, state, known)
+        in_store = self._in_store.get(service.name)
+        if in_store is not None:
+            state.in_store = in_store
+        known = self._newest.get(service.name)
+        if known is not None:
+            state.adopt(now, known, known.serial)
 
     def take(
         self, now: float, known: stored.StoredObject
@@ -88,27 +89,43 @@
         :raises DecodeError: if the object is no good table.
         """
         name = find_service_name(known.path)
-        if not name or known.value is None:
+        if not name:
+            return None
+        if known.value is None:
+            self._note_stored(name, known, 0, 0)
             return None
-        former = self._stored.get(name)
-        if former is not None and former.version >= known.version:
+        table = _table.decode(known.value)
+        if not table.serial:
+            table = msgspec.structs.replace(table, serial=known.version)
+        self._note_stored(name, known, known.version, table.serial)
+        newest = self._newest.get(name)
+        if newest is not None and newest.serial >= table.serial:
             return None
-        self._stored[name] = known
+        self._newest[name] = table
         state = self.states.get(name)
-        if state is None or not self._adopt(now, state, known):
+        if state is None or table.serial <= state.version:
             return None
+        state.adopt(now, table, table.serial)
         return state
 
-    def _adopt(
+    def _note_stored(
         self,
-        now: float,
-        state: _state.ServiceState,
+        name: str,
         known: stored.StoredObject,
-    ) -> bool:
-        if known.version <= state.version:
-            return False
-        state.adopt(now, _table.decode(known.value), known.version)
-        return True
+        version: int,
+        serial: int,
+    ) -> None:
+        """Note what the store has, also where it is no news here."""
+        last = self._in_store.get(name)
+        # A write of this instance whose answer holds no object is the last.
+        revision = known.revision or (last.revision if last else 0)
+        if last is not None and revision < last.revision:
+            return
+        in_store = _state.StoredTable(revision, version, serial)
+        self._in_store[name] = in_store
+        state = self.states.get(name)
+        if state is not None:
+            state.in_store = in_store
 
 
 def find_service_name(path: str) -> str:
--- a/skylarkfold/flows/_core.py
+++ b/skylarkfold/flows/_core.py
@@ -368,11 +368,11 @@
         decision = effect.RecordDecision(
             kind='table-in-force',
             service=state.name,
-            subject=f'version {known.version}',
+            subject=f'version {state.version}',
             upstream='',
             reason='newer',
         )
-        told = _messages.TableInForce(state.name, known.version)
+        told = _messages.TableInForce(state.name, state.version)
         effects = self._tell_proposers(now, state.name, told)
         return [decision, *effects, *self._release_held(now)]
 
--- a/skylarkfold/flows/_plan.py
+++ b/skylarkfold/flows/_plan.py
@@ -73,6 +73,7 @@
         self._states = list(table.states)
         self._unpinned = list(table.unpinned)
         self._targets = list(table.targets)
+        self._serial = table.serial
         self._dead: list[int] = []
         self._indexes: dict[str, int] = {}
         self._missing: dict[int, int] = {}
@@ -85,6 +86,7 @@
             states=self._states,
             unpinned=self._unpinned,
             targets=self._targets,
+            serial=self._serial,
         )
 
     def apply(self) -> None:
--- a/skylarkfold/flows/_proposer.py
+++ b/skylarkfold/flows/_proposer.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterator
 import dataclasses
 
+import msgspec
+
 from skylarkfold import effect
 from skylarkfold import event
 from skylarkfold.flows import _freedom
@@ -194,7 +196,7 @@
         state: _state.ServiceState,
         proposal: _Proposal,
     ) -> _table.BucketTable | None:
-        if state.is_provisional:
+        if state.is_provisional or state.is_lost:
             return state.table
         situation = _plan.Situation(
             service=state.service,
@@ -271,17 +273,21 @@
         proposal: _Proposal,
         planned: _table.BucketTable,
     ) -> list[object]:
+        serial = state.version
+        if planned is not state.table or state.is_provisional:
+            serial += 1
+        planned = msgspec.structs.replace(planned, serial=serial)
         proposal.pending = planned
         proposal.writing_until = now + WRITE_TIMEOUT_SECONDS
         write = stored.WriteObject(
             path=_table.build_path(state.name),
             value=_table.encode(planned),
-            expected_version=state.version,
+            expected_version=state.in_store.version,
         )
         decision = effect.RecordDecision(
             kind='table',
             service=state.name,
-            subject=f'version {state.version + 1}',
+            subject=f'version {serial}',
             upstream='',
             reason=_describe(planned),
         )
@@ -301,7 +307,7 @@
         return None
     return stored.StoredObject(
         path=_table.build_path(state.name),
-        version=state.version + 1,
+        version=state.in_store.version + 1,
         revision=0,
         value=_table.encode(pending),
     )
--- a/skylarkfold/flows/_state.py
+++ b/skylarkfold/flows/_state.py
@@ -22,6 +22,25 @@
 REFRESH_ROUNDS = 3
 
 
+class StoredTable:
+    """What the platform's store has of a table.
+
+    :param revision: where in the store's history it was written.
+    :param version: what the next write must expect; 0 for no table.
+    :param serial: of the table.
+    """
+
+    __slots__ = ('revision', 'serial', 'version')
+
+    def __init__(self, revision: int, version: int, serial: int) -> None:
+        self.revision = revision
+        self.version = version
+        self.serial = serial
+
+
+_NOT_STORED = StoredTable(0, 0, 0)
+
+
 class ServiceState:
     """One service: its table in force, its pins, and its load.
 
@@ -42,6 +61,7 @@
         self.service = service
         self.table = table
         self.version = 0
+        self.in_store = _NOT_STORED
         self.adopted_at: float | None = None
         self.prepared_version = 0
         self.is_guess = is_guess
@@ -70,6 +90,14 @@
         """Tell whether no stored table is known yet."""
         return self.version == 0
 
+    @property
+    def is_lost(self) -> bool:
+        """Tell whether the store lacks the table in force.
+
+        It has come back from an older copy, or nothing was written yet.
+        """
+        return self.in_store.serial < self.version
+
     @property
     def eligible(self) -> list[service_module.Upstream]:
         """The configured upstreams that may take new flows."""
@@ -189,7 +217,7 @@
 
         :param now: the time.
         :param table: the table.
-        :param version: its version in the platform's store.
+        :param version: its serial.
         """
         former = self.table
         self.table = table
--- a/skylarkfold/flows/_table.py
+++ b/skylarkfold/flows/_table.py
@@ -56,6 +56,10 @@
         without a pin.
     :param targets: for each bucket the index of the upstream of new
         flows, or ``FREE``.
+    :param serial: how often the table has been changed; of two tables the
+        one with the higher serial is the later one. The version that the
+        store counts goes back when the store does. 0 in tables that were
+        written before there was one: their version stands for it.
     """
 
     upstreams: list[TableUpstream]
@@ -63,6 +67,7 @@
     states: list[int]
     unpinned: list[int]
     targets: list[int]
+    serial: int = 0
 
     def find_index(self, name: str) -> int:
         """Find an upstream's index.
@@ -122,6 +127,8 @@
 
 
 def _check(table: BucketTable) -> None:
+    if table.serial < 0:
+        raise errors.DecodeError(f'serial {table.serial}')
     count = len(table.states)
     if count == 0 or count & (count - 1):
         raise errors.DecodeError(f'{count} buckets are no power of two')
--- a/skylarkfold/tests/flows/cluster.py
+++ b/skylarkfold/tests/flows/cluster.py
@@ -12,6 +12,7 @@
 from skylarkfold import flows
 from skylarkfold import instance
 from skylarkfold import member
+from skylarkfold import revision as revisions
 from skylarkfold import service
 from skylarkfold import stored
 
@@ -68,6 +69,8 @@
         self.members = {}
         self.members_version = 0
         self.stored = None
+        # How often the store has come back from an older copy.
+        self.era = 0
         self.configuration = None
         self.is_store_down = False
         self.loses_answers = False
@@ -216,7 +219,10 @@
         if not self.is_store_down and version == write.expected_version:
             status = stored.PlatformStatus.OK
             self.stored = stored.StoredObject(
-                write.path, version + 1, version + 1, write.value
+                write.path,
+                version + 1,
+                int(revisions.Revision(version + 1, self.era)),
+                write.value,
             )
             self.publish_table()
         current = self.stored
@@ -226,6 +232,17 @@
         ended = event.WriteEnded(write.path, status, current)
         self.deliver('platform', name, ended, self.delay)
 
+    def restore(self, saved):
+        """Have the store come back with an older table, or with none."""
+        self.era += 1
+        path, version, value = self.stored.path, 0, None
+        if saved is not None:
+            version, value = saved.version, saved.value
+        revision = int(revisions.Revision(version, self.era))
+        found = stored.StoredObject(path, version, revision, value)
+        self.stored = None if saved is None else found
+        self.publish(event.ObjectChanged(found))
+
     def run(self, seconds):
         """Let time pass."""
         end = self.now + seconds
--- a/skylarkfold/tests/flows/test_core.py
+++ b/skylarkfold/tests/flows/test_core.py
@@ -84,6 +84,44 @@
         self.assertNotIn('u1', new)
         self.assertEqual([], self.flows.find_broken())
 
+    def test_a_table_that_the_store_has_lost_is_written_again(self):
+        """The store came back from a copy of before some changes.
+
+        Its count of versions went back with it: a write that expected the
+        lost one was refused for good, so that no drain, death or addition
+        took effect any more.
+        """
+        saved = self.cluster.stored
+        for draining in ([1], [1, 2]):
+            self.cluster.configure(build_service(4, draining=draining))
+            self.cluster.run(20)
+        lost = self.cluster.stored
+        self.assertGreater(lost.version, saved.version + 1)
+        self.cluster.restore(saved)
+        self.assertEqual([], self.flows.find_broken())
+        self.cluster.run(20)
+        self.assertNotEqual(saved.value, self.cluster.stored.value)
+        self.assertEqual([], self.flows.find_broken())
+        self.cluster.configure(build_service(4, draining=[1, 2, 3]))
+        self.cluster.run(20)
+        begun = len(self.cluster.forwarded)
+        self.flows.begin(100)
+        new = {
+            each.upstream.name for _, each in self.cluster.forwarded[begun:]
+        }
+        self.assertEqual({'u0'}, new)
+        self.assertEqual([], self.flows.find_broken())
+
+    def test_a_table_that_the_copy_lacks_is_written_again(self):
+        self.cluster.configure(build_service(4, draining=[1]))
+        self.cluster.run(20)
+        before = self.cluster.stored
+        self.cluster.restore(None)
+        self.cluster.run(20)
+        self.assertEqual(1, self.cluster.stored.version)
+        self.assertEqual(before.value, self.cluster.stored.value)
+        self.assertEqual([], self.flows.find_broken())
+
     def test_buckets_close_when_old_flows_ended(self):
         self.cluster.configure(build_service(4, draining=[1]))
         self.cluster.run(300)
