Requests: an older list of key holders never replaces the newest

Cause: found while each place that compares what the store counts was listed. Lists of holders were ordered by the store's revision alone. Once that holds the era, the older list in the copy from which the store comes back counts as the newest: votes that the holders since have given would count no more, and a request that runs once at most might be let run again.

Change: a list holds a serial of its own; one with a lower serial is no news, whatever its revision. Who has that duty writes the newest list again, expecting what the store has now; it is then known under its new revision. A list that the copy lacks is written again as well. Lists of before have no serial: they go by their revision among themselves.

--- a/skylarkfold/requests/_holders.py
+++ b/skylarkfold/requests/_holders.py
@@ -51,10 +51,13 @@
 
     :param current: the holders in force, sorted by name.
     :param previous: those before them, for ranges not taken over yet.
+    :param serial: how often the list has been changed; 0 in lists that were
+        written before there was one.
     """
 
     current: tuple[Holder, ...]
     previous: tuple[Generation, ...] = ()
+    serial: int = 0
 
 
 HolderSet = tuple[Holder, ...]
@@ -167,7 +170,8 @@
             and self.get_current(number) != after.get_current(number)
         )
         added = Generation(self.value.current, moved)
-        return HolderValue(wanted, _drop_empty((*kept, added)))
+        previous = _drop_empty((*kept, added))
+        return HolderValue(wanted, previous, self.value.serial + 1)
 
     def settle(self, numbers: frozenset[int]) -> HolderValue:
         """Make the value in which ranges depend on no past holders.
@@ -182,7 +186,8 @@
             )
             for each in self.value.previous
         )
-        return HolderValue(self.value.current, _drop_empty(kept))
+        previous = _drop_empty(kept)
+        return HolderValue(self.value.current, previous, self.value.serial + 1)
 
     def _get(self, holders: HolderSet, number: int) -> HolderSet:
         cache = self._sets[holders]
--- a/skylarkfold/requests/_succession.py
+++ b/skylarkfold/requests/_succession.py
@@ -54,6 +54,8 @@
         self._gone: frozenset[str] = frozenset()
         self._writing_until = 0.0
         self._observed_at = 0.0
+        # Whether the store has an older list, or none.
+        self._is_lost = False
         self.holders: _holders.HolderList | None = None
         self.is_stopping = False
 
@@ -79,8 +81,7 @@
         if self.holders is not None and revision <= self.holders.label:
             return False
         if value is None:
-            if self.holders is not None:
-                self.holders.version = 0
+            self._note_lost(0)
             return False
         changed = stored.StoredObject(_holders.PATH, version, revision, value)
         try:
@@ -88,7 +89,11 @@
         except errors.DecodeError:
             self._context.count(metric.REQUESTS_HOLDERS_MALFORMED)
             return False
+        if self._is_later(holders):
+            self._note_lost(version)
+            return False
         self.holders = holders
+        self._is_lost = False
         self._observed_at = now
         self._ended &= holders.list_identities()
         self._writing_until = 0.0
@@ -99,6 +104,25 @@
         self.tick(now)
         return True
 
+    def _is_later(self, other: _holders.HolderList) -> bool:
+        """Tell whether the list that is known is later than another."""
+        if self.holders is None:
+            return False
+        return other.value.serial < self.holders.value.serial
+
+    def _note_lost(self, version: int) -> None:
+        """Note that the store has come back without the newest list.
+
+        Votes were given by it, so that nobody goes back to an older one.
+
+        :param version: what the store has; the next write expects it.
+        """
+        if self.holders is None:
+            return
+        self.holders.version = version
+        self._is_lost = True
+        self._context.count(metric.REQUESTS_HOLDERS_LOST)
+
     def observe_gone(self, value: bytes | None) -> None:
         """Take the names that operators declare gone for good.
 
@@ -292,7 +316,10 @@
         is_stable = now - since >= delay
         if self.holders is None:
             if is_stable:
-                self._write(now, _holders.HolderValue(wanted))
+                self._write(now, _holders.HolderValue(wanted, serial=1))
+            return
+        if self._is_lost:
+            self._write(now, self.holders.value)
             return
         if wanted != self.holders.value.current:
             if is_stable and self._keeps_most(wanted):
--- /dev/null
+++ b/skylarkfold/tests/requests/test_returns.py
@@ -0,0 +1,122 @@
+"""The store comes back from a copy that has an older list of holders.
+
+Found while each place that compares what the store counts was listed; no run
+has shown it. An instance took the older list for the newest: votes on keys
+that the holders since have given would count no more, so that a request that
+runs once at most could be let run again.
+"""
+
+import testtools
+
+from skylarkfold import effect
+from skylarkfold import event
+from skylarkfold.requests import _holders
+from skylarkfold import revision as revisions
+from skylarkfold import stored
+from skylarkfold.tests.requests import samples
+
+NAME = 'entry-1'
+OK = stored.PlatformStatus.OK
+CONFLICT = stored.PlatformStatus.CONFLICT
+
+
+def build_list(*names, serial=0):
+    holders = tuple(
+        _holders.Holder(name, 'hall-a', number + 1)
+        for number, name in enumerate(names)
+    )
+    return _holders.HolderValue(holders, serial=serial)
+
+
+def store(value, version, number, era):
+    """Give a list as the store has it."""
+    revision = int(revisions.Revision(number, era))
+    written = None if value is None else _holders.write_value(value)
+    return stored.StoredObject(_holders.PATH, version, revision, written)
+
+
+class ReturnTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.core = samples.make_core(name=NAME)
+        self.now = 0.0
+        self.newest = build_list(NAME, 'entry-2', serial=7)
+        self.see(store(self.newest, 7, 38, 1))
+
+    def see(self, found):
+        """Learn what the store has; give the writes that follow."""
+        return self.list_writes(
+            self.core.handle(self.now, event.ObjectChanged(found))
+        )
+
+    def wait(self, seconds):
+        """Let time pass; give the writes that follow."""
+        writes = []
+        for _ in range(int(seconds * 4)):
+            self.now += 0.25
+            writes += self.list_writes(
+                self.core.handle(self.now, event.Tick())
+            )
+        return writes
+
+    @staticmethod
+    def list_writes(effects):
+        return [
+            each.write
+            for each in effects
+            if isinstance(each, effect.RequestWrite)
+        ]
+
+    def get_holders(self):
+        return self.core.succession.holders
+
+    def test_an_older_list_does_not_replace_the_newest(self):
+        self.see(store(build_list('entry-2', serial=5), 5, 26, 2))
+        self.assertEqual(self.newest, self.get_holders().value)
+
+    def test_the_newest_is_written_again(self):
+        self.see(store(build_list('entry-2', serial=5), 5, 26, 2))
+        write = self.wait(1.0)[0]
+        self.assertEqual(5, write.expected_version)
+        self.assertEqual(_holders.write_value(self.newest), write.value)
+        written = store(self.newest, 6, 30, 2)
+        ended = event.WriteEnded(_holders.PATH, OK, written)
+        self.core.handle(self.now, ended)
+        self.assertEqual(written.revision, self.get_holders().label)
+        self.assertEqual(6, self.get_holders().version)
+        self.assertNotIn(write.value, [each.value for each in self.wait(3.0)])
+
+    def test_another_may_have_written_it(self):
+        older = store(build_list('entry-2', serial=5), 5, 26, 2)
+        self.see(older)
+        self.wait(1.0)
+        again = store(self.newest, 6, 30, 2)
+        ended = event.WriteEnded(_holders.PATH, CONFLICT, again)
+        self.core.handle(self.now, ended)
+        self.assertEqual(again.revision, self.get_holders().label)
+
+    def test_one_that_the_copy_lacks_is_written_again(self):
+        self.see(store(None, 8, 26, 2))
+        write = self.wait(1.0)[0]
+        self.assertEqual(0, write.expected_version)
+        self.assertEqual(_holders.write_value(self.newest), write.value)
+
+    def test_a_later_list_counts_whatever_its_version(self):
+        later = build_list(NAME, 'entry-3', serial=8)
+        self.see(store(later, 6, 26, 2))
+        self.assertEqual(later, self.get_holders().value)
+
+    def test_each_change_has_a_serial_of_its_own(self):
+        holders = self.get_holders()
+        wanted = (_holders.Holder(NAME, 'hall-a', 1),)
+        changed = holders.change(wanted)
+        self.assertEqual(8, changed.serial)
+        joint = _holders.HolderList(2, 2, changed)
+        self.assertEqual(9, joint.settle(frozenset()).serial)
+
+    def test_lists_of_before_there_were_serials_go_by_their_revision(self):
+        core = samples.make_core(name=NAME)
+        first, second = build_list(NAME), build_list(NAME, 'entry-2')
+        for found in (store(first, 1, 3, 1), store(second, 2, 4, 1)):
+            core.handle(0.0, event.ObjectChanged(found))
+        self.assertEqual(second, core.succession.holders.value)
