Relay: after a start of all, routes are settled before machines count as stable

Cause: who has started from the store alone can't tell whether it has just come back older, and waits for its word 2.5 s later. The watch that brought it began 1.2 s after the start and lasted 3 s: until 4.2 s a flow on a route that was removed before the start would be passed on, though the platform counts the instance as stable after 4 s.

Change: the first watch of what operators write ends when its word settles it.

One call more a watcher and such topic at a start of all.

--- a/skylarkfold/relay/_topic.py
+++ b/skylarkfold/relay/_topic.py
@@ -156,9 +156,13 @@
         :returns: the time, None if nothing waits for it.
         """
         end = self.retained.find_end()
-        if end is None and self._has_former and not self.is_settled():
+        if end is not None or self.is_settled():
+            return end
+        # Who has just started and knows no peer can't tell either.
+        is_new = self.is_alone and self.name in self._settings.lasting_topics
+        if self._has_former or is_new:
             return self.entered_at + self._settings.rewrite_seconds
-        return end
+        return None
 
     def take_changes(
         self, items: Iterable[_item.Item], revision: revisions.Revision
--- a/skylarkfold/tests/relay/test_retained.py
+++ b/skylarkfold/tests/relay/test_retained.py
@@ -290,6 +290,18 @@
         core = self.fleet.cores['newcomer']
         self.assertTrue(core.is_settled(ROUTES))
 
+    def test_after_a_start_of_all_routes_are_settled_before_a_stable_time(
+        self,
+    ):
+        # The platform counts a machine as stable 4 s after its start.
+        fleet = fleet_module.Fleet(ZONES, SETTINGS, ByVersion())
+        fleet.store.put(ROUTES, 'main', {'version': 1})
+        fleet.run(REWRITE_SECONDS - 0.2)
+        cores = fleet.cores.values()
+        self.assertEqual({False}, {each.is_settled(ROUTES) for each in cores})
+        fleet.run(0.2 + HEARD_SECONDS)
+        self.assertEqual({True}, {each.is_settled(ROUTES) for each in cores})
+
     def test_the_calls_of_a_return_are_those_of_the_watchers(self):
         self.fleet.is_store_down = True
         self.fleet.run(2.0)
