Affinity: a refusal is built in one place, and weighs on no load

Cause: resets of what no upstream gets were built twice, in the core and where copies are sent; a flow that was refused by the latter counted for its upstream for up to 3 s more, and other new flows went elsewhere by it.

Change: `Refusals` builds them for both; a refused copy closes its flow and counts no more.

--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -17,6 +17,7 @@
 from skylarkfold.affinity import _packet
 from skylarkfold.affinity import _placement
 from skylarkfold.affinity import _presence
+from skylarkfold.affinity import _refusal
 from skylarkfold.affinity import _route
 from skylarkfold.affinity import _settings
 from skylarkfold.affinity import _standing
@@ -25,7 +26,6 @@
 from skylarkfold.affinity import _upstream
 from skylarkfold.affinity import _warm_up
 from skylarkfold.affinity import _words
-from skylarkfold.affinity import _work
 
 Reason = _effect.Reason
 
@@ -59,6 +59,7 @@
         )
         self._peer_loads = _load.PeerLoads(settings, self._directory)
         self._limit = _warm_up.WarmUpLimit(zone, settings)
+        self._refusals = _refusal.Refusals(self.tally)
         self.set_mates = self._limit.set_mates
         self._opener = _opening.Opener(
             zone,
@@ -66,6 +67,7 @@
             self._directory,
             self._health,
             self._limit,
+            self._refusals,
             self.tally,
         )
         self._held = _held.HeldPackets()
@@ -239,7 +241,9 @@
         waits = self.tally.histograms[_tally.WAIT_SECONDS]
         waits.observe(expected.wait_seconds)
         if not is_copy and self._admission.is_refused(route, expected, hashed):
-            return self._refuse_crowded(packet, route, standing, expected)
+            return self._refusals.refuse_crowded(
+                packet, self._routes.version, route, standing, expected
+            )
         flow = _flow.Flow(packet.flow, standing, now)
         flow.is_idempotent = route.is_idempotent
         flow.is_routed = True
@@ -352,36 +356,8 @@
             return self._drop(Reason.ROUTE_UNKNOWN)
         return self._refuse(packet, Reason.NO_ROUTE)
 
-    def _refuse_crowded(
-        self,
-        packet: _packet.Packet,
-        route: _route.Route,
-        standing: _standing.Standing,
-        expected: _work.Estimate,
-    ) -> list[object]:
-        details = {
-            'service': standing.upstream.service,
-            'upstream': standing.upstream.name,
-            'estimate_ms': _ending.to_ms(expected.seconds),
-            'wait_ms': _ending.to_ms(expected.wait_seconds),
-            'aim_ms': _ending.to_ms(route.aim_seconds),
-            'waiting': round(standing.waiting, 1),
-            'priority': route.priority,
-        }
-        return self._refuse(packet, Reason.CROWDED, details)
-
-    def _refuse(
-        self,
-        packet: _packet.Packet,
-        reason: str,
-        known: dict[str, object] | None = None,
-    ) -> list[object]:
-        self.tally.count(_tally.RESET, reason)
-        details = {'version': self._routes.version, **(known or {})}
-        return [
-            _effect.Record('reset', reason, packet.flow, details=details),
-            _effect.Reset(packet.flow, packet.acknowledged),
-        ]
+    def _refuse(self, packet: _packet.Packet, reason: str) -> list[object]:
+        return self._refusals.refuse(packet, reason, self._routes.version)
 
     def _drop(self, reason: str) -> list[object]:
         self.tally.count(_tally.DROPPED, reason)
--- a/skylarkfold/affinity/_opening.py
+++ b/skylarkfold/affinity/_opening.py
@@ -10,6 +10,7 @@
 from skylarkfold.affinity import _health
 from skylarkfold.affinity import _packet
 from skylarkfold.affinity import _placement
+from skylarkfold.affinity import _refusal
 from skylarkfold.affinity import _route
 from skylarkfold.affinity import _settings
 from skylarkfold.affinity import _standing
@@ -27,6 +28,7 @@
     :param directory: all upstreams.
     :param health: told of first packets that are not answered.
     :param limit: of first packets to upstreams that warm up.
+    :param refusals: refuses what no upstream may get.
     :param tally: where flows are counted.
     """
 
@@ -34,6 +36,7 @@
         '_directory',
         '_health',
         '_limit',
+        '_refusals',
         '_settings',
         '_tally',
         '_waiting',
@@ -47,6 +50,7 @@
         directory: _directory.Directory,
         health: _health.HealthWatch,
         limit: _warm_up.WarmUpLimit,
+        refusals: _refusal.Refusals,
         tally: _tally.Tally,
     ) -> None:
         self._zone = zone
@@ -54,6 +58,7 @@
         self._directory = directory
         self._health = health
         self._limit = limit
+        self._refusals = refusals
         self._tally = tally
         self._waiting: collections.deque[tuple[float, _flow.Flow]] = (
             collections.deque()
@@ -148,27 +153,18 @@
         # which one that leaves or is evacuated by now may not.
         again = self._choose_again(now, flow, routes, ())
         if again is None:
-            return [*effects, *self._refuse(now, flow, packet, routes)]
+            flow.is_closed = True
+            _flow.end_work(flow, now)
+            _flow.count_out(flow)
+            return effects + self._refusals.refuse(
+                packet,
+                Reason.NO_UPSTREAM,
+                routes.version,
+                {'try': len(flow.tried)},
+            )
         self._limit.note_opening(now, again)
         return [*effects, _effect.Forward(again.upstream, packet.data)]
 
-    def _refuse(
-        self,
-        now: float,
-        flow: _flow.Flow,
-        packet: _packet.Packet,
-        routes: _route.RouteTable,
-    ) -> list[object]:
-        _flow.end_work(flow, now)
-        self._tally.count(_tally.RESET, Reason.NO_UPSTREAM)
-        details = {'version': routes.version, 'try': len(flow.tried)}
-        return [
-            _effect.Record(
-                'reset', Reason.NO_UPSTREAM, flow.key, details=details
-            ),
-            _effect.Reset(flow.key, packet.acknowledged),
-        ]
-
     def repeat(self, now: float, routes: _route.RouteTable) -> list[object]:
         """Send what was not answered in time to another upstream.
 
--- /dev/null
+++ b/skylarkfold/affinity/_refusal.py
@@ -0,0 +1,74 @@
+"""Resets of packets that no upstream gets."""
+
+from __future__ import annotations
+
+from skylarkfold.affinity import _effect
+from skylarkfold.affinity import _ending
+from skylarkfold.affinity import _packet
+from skylarkfold.affinity import _route
+from skylarkfold.affinity import _standing
+from skylarkfold.affinity import _tally
+from skylarkfold.affinity import _work
+
+
+class Refusals:
+    """Refuses packets, with a line and a count for each.
+
+    :param tally: where they are counted.
+    """
+
+    __slots__ = ('_tally',)
+
+    def __init__(self, tally: _tally.Tally) -> None:
+        self._tally = tally
+
+    def refuse(
+        self,
+        packet: _packet.Packet,
+        reason: str,
+        version: int,
+        details: dict[str, object] | None = None,
+    ) -> list[object]:
+        """Refuse a packet.
+
+        :param packet: the packet.
+        :param reason: why.
+        :param version: of the routes that led to it.
+        :param details: what else decided it, by name.
+        :returns: effects.
+        """
+        self._tally.count(_tally.RESET, reason)
+        known = {'version': version, **(details or {})}
+        return [
+            _effect.Record('reset', reason, packet.flow, details=known),
+            _effect.Reset(packet.flow, packet.acknowledged),
+        ]
+
+    def refuse_crowded(
+        self,
+        packet: _packet.Packet,
+        version: int,
+        route: _route.Route,
+        standing: _standing.Standing,
+        expected: _work.Estimate,
+    ) -> list[object]:
+        """Refuse a new flow whose request would be answered too late.
+
+        :param packet: its first packet.
+        :param version: of the routes.
+        :param route: its route.
+        :param standing: the least loaded upstream.
+        :param expected: how soon that would answer.
+        :returns: effects.
+        """
+        details = {
+            'service': standing.upstream.service,
+            'upstream': standing.upstream.name,
+            'estimate_ms': _ending.to_ms(expected.seconds),
+            'wait_ms': _ending.to_ms(expected.wait_seconds),
+            'aim_ms': _ending.to_ms(route.aim_seconds),
+            'waiting': round(standing.waiting, 1),
+            'priority': route.priority,
+        }
+        reason = _effect.Reason.CROWDED
+        return self.refuse(packet, reason, version, details)
--- a/skylarkfold/tests/affinity/test_evacuation.py
+++ b/skylarkfold/tests/affinity/test_evacuation.py
@@ -137,6 +137,9 @@
         effects = core.take_packet(COPY_SECONDS, copy)
         self.assertEqual([], samples.list_forwards(effects))
         self.assertEqual(1, len(samples.list_resets(effects)))
+        # It weighs on nobody's load any more.
+        self.assertEqual(0, core.directory.count_flows())
+        self.assertEqual(0, core.directory.count_busy())
 
     def test_where_nobody_is_left_the_caller_is_told_at_once(self):
         self.core.set_evacuations(1.0, evacuate(*ZONES))
