--- a/skylarkfold/soak/__init__.py
+++ b/skylarkfold/soak/__init__.py
@@ -5,7 +5,8 @@
 faults: signals, a store that misbehaves towards some instances, a way to it
 that delays, loses answers, falls silent or resets, upstreams that crash, fall
 silent, drain, are replaced and start again under their names, entries that
-other writers leave, changes of the configuration. What callers
+other writers leave, a store that comes back from an older copy, changes of the
+configuration. What callers
 and upstreams see is judged all along, and that the last configuration is in
 force everywhere in the end.
 
@@ -14,8 +15,16 @@
 
 from skylarkfold.soak._judge import Judge
 from skylarkfold.soak._plan import draw_plan
+from skylarkfold.soak._run import INSTANCES
 from skylarkfold.soak._run import run_plan
 from skylarkfold.soak._run import run_seed
 from skylarkfold.soak._world import World
 
-__all__ = ['Judge', 'World', 'draw_plan', 'run_plan', 'run_seed']
+__all__ = [
+    'INSTANCES',
+    'Judge',
+    'World',
+    'draw_plan',
+    'run_plan',
+    'run_seed',
+]
--- a/skylarkfold/soak/__main__.py
+++ b/skylarkfold/soak/__main__.py
@@ -2,6 +2,7 @@
 
     python -m skylarkfold.soak --seeds 1,2,3 [--seconds 20] [--planned]
     python -m skylarkfold.soak --first 100 --count 50
+    python -m skylarkfold.soak --seeds 1 --instances 60
 
 Exit status 1 where a promise was broken.
 """
@@ -26,6 +27,7 @@
     restarts: bool = True,
     evacuations: bool = True,
     returns: bool = True,
+    instances: int = soak.INSTANCES,
     keep: str = '',
 ) -> None:
     """Run some seeds, one after the other.
@@ -39,6 +41,7 @@
         writers leave entries.
     :param evacuations: zones are emptied and taken back.
     :param returns: the store comes back from older copies.
+    :param instances: how many processes there are, over three zones.
     :param keep: a folder for settings and logs; one that is thrown away
         where left out.
     """
@@ -58,6 +61,7 @@
                 restarts,
                 evacuations,
                 returns,
+                instances,
             )
         word = 'broken' if result.broken else 'held'
         print(f'seed {seed}: {word}, {result.outcomes}', flush=True)
--- a/skylarkfold/soak/_run.py
+++ b/skylarkfold/soak/_run.py
@@ -9,7 +9,8 @@
 from skylarkfold.soak import _plan
 from skylarkfold.soak import _world
 
-_ZONES = {'a': 2, 'b': 2, 'c': 1}
+_ZONES = ('a', 'b', 'c')
+INSTANCES = 5
 _SESSIONS = 8
 # Instances take so long to start at most before traffic begins.
 _START_SECONDS = 3.0
@@ -52,6 +53,7 @@
     has_restarts: bool = False,
     has_evacuations: bool = False,
     has_returns: bool = False,
+    instances: int = INSTANCES,
 ) -> Result:
     """Run one seed.
 
@@ -64,6 +66,7 @@
         names, and other writers leave entries.
     :param has_evacuations: whether zones are emptied and taken back.
     :param has_returns: whether the store comes back from older copies.
+    :param instances: how many there are, over three zones.
     :returns: what it showed.
     """
     plan = _plan.draw_plan(seed, seconds, planned_only)
@@ -73,7 +76,7 @@
         plan += _plan.draw_evacuations(seed, seconds)
     if has_returns:
         plan += _plan.draw_returns(seed, seconds)
-    return run_plan(plan, seed, folder, seconds, planned_only)
+    return run_plan(plan, seed, folder, seconds, planned_only, instances)
 
 
 def run_plan(
@@ -82,6 +85,7 @@
     folder: pathlib.Path,
     seconds: float,
     planned_only: bool = False,
+    instances: int = INSTANCES,
 ) -> Result:
     """Run a plan.
 
@@ -90,9 +94,10 @@
     :param folder: where settings and logs lie.
     :param seconds: how long traffic lasts.
     :param planned_only: whether every request must be answered.
+    :param instances: how many there are, over three zones.
     :returns: what it showed.
     """
-    world = _world.World(folder, seed, _ZONES)
+    world = _world.World(folder, seed, _share_out(instances))
     director = _director.Director(world)
     try:
         world.start()
@@ -115,6 +120,15 @@
     return Result(seed, plan, broken, dict(world.judge.outcomes))
 
 
+def _share_out(instances: int) -> dict[str, int]:
+    """Divide instances over the zones, the first ones get the rest."""
+    count = len(_ZONES)
+    return {
+        zone: (instances + count - 1 - place) // count
+        for place, zone in enumerate(_ZONES)
+    }
+
+
 def _begin(
     world: _world.World, director: _director.Director, plan: list[_plan.Step]
 ) -> None:
