Relay: after a start of all, the first watch of every topic ends early

Cause: watches begin 1.2 s after the start and lasted 3 s, but after 4 s without the store's word the next in rank watch as well: two calls for nothing in each zone and topic. What operators write ends early already.

Change: so do the others.

--- a/skylarkfold/relay/_topic.py
+++ b/skylarkfold/relay/_topic.py
@@ -158,9 +158,9 @@
         end = self.retained.find_end()
         if end is not None or self.is_settled():
             return end
-        # Who has just started and knows no peer can't tell either.
-        is_new = self.is_alone and self.name in self._settings.lasting_topics
-        if self._has_former or is_new:
+        # Who has just started and knows no peer can't tell either; its mates
+        # would ask as well before a watch of the usual length ends.
+        if self._has_former or self.is_alone:
             return self.entered_at + self._settings.rewrite_seconds
         return None
 
