Forwarder: an instance wakes up when something is due, not a hundred times a second

Cause: hypothesis: most of what an instance spends at rest are its looks, every 10 ms, at whether something is due. On small machines each wake-up costs.

Change: a tick comes after 50 ms, or when a first packet, a request, a packet that waits for news, or an upstream in doubt is due, 10 ms apart at the least; every 10 ms until all topics are known. What was answered meanwhile is passed over. A cancelled timer wakes nobody. Whatever fails in a tick, there is a next.

--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -221,6 +221,21 @@
             self.tally.count(_tally.DROPPED, _tally.HELD_TOO_LONG)
         return effects
 
+    def find_due(self, now: float) -> float | None:
+        """Find when a tick has something to do that can't wait.
+
+        :param now: the time in seconds.
+        :returns: the time, at once for a probe; None if nothing waits.
+        """
+        if self._suspects.has_any:
+            return now
+        waiting = (
+            self._opener.find_due(),
+            self._health.find_due(),
+            self._held.find_due(),
+        )
+        return min((at for at in waiting if at is not None), default=None)
+
     def _take_first(self, now: float, packet: _packet.Packet) -> list[object]:
         flow = self._flows.get(packet.flow)
         if flow is not None:
--- a/skylarkfold/affinity/_health.py
+++ b/skylarkfold/affinity/_health.py
@@ -122,6 +122,15 @@
             return []
         return self._suspects.doubt(now, standing, now)
 
+    def find_due(self) -> float | None:
+        """Find when the next request has waited for too long."""
+        while self._waits:
+            due, flow = self._waits[0]
+            if flow.waiting_since is not None and not flow.is_closed:
+                return due
+            self._waits.popleft()
+        return None
+
     def tick(self, now: float) -> list[object]:
         """Look at requests that wait and probe what is due.
 
--- a/skylarkfold/affinity/_held.py
+++ b/skylarkfold/affinity/_held.py
@@ -34,6 +34,10 @@
         self._waiting.append((now + _HELD_SECONDS, packet))
         return True
 
+    def find_due(self) -> float | None:
+        """Find when the first of them has waited for too long."""
+        return self._waiting[0][0] if self._waiting else None
+
     def release(self, now: float) -> list[_packet.Packet]:
         """Give all back, to be decided on again.
 
--- a/skylarkfold/affinity/_opening.py
+++ b/skylarkfold/affinity/_opening.py
@@ -165,6 +165,15 @@
         self._limit.note_opening(now, again)
         return [*effects, _effect.Forward(again.upstream, packet.data)]
 
+    def find_due(self) -> float | None:
+        """Find when the next first packet is to be sent once more."""
+        while self._waiting:
+            due, flow = self._waiting[0]
+            if not flow.is_open and not flow.is_closed:
+                return due
+            self._waiting.popleft()
+        return None
+
     def repeat(self, now: float, routes: _route.RouteTable) -> list[object]:
         """Send what was not answered in time to another upstream.
 
--- a/skylarkfold/affinity/_suspects.py
+++ b/skylarkfold/affinity/_suspects.py
@@ -160,6 +160,11 @@
         if standing.health == Health.OUT_OF_REACH:
             self._suspects[standing.upstream.name] = standing
 
+    @property
+    def has_any(self) -> bool:
+        """Whether any upstream is in doubt."""
+        return bool(self._suspects)
+
     def tick(self, now: float) -> list[object]:
         """Probe what is due.
 
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -19,6 +19,7 @@
 from skylarkfold.forwarder import _precedence
 from skylarkfold.forwarder import _probe
 from skylarkfold.forwarder import _reporter
+from skylarkfold.forwarder import _rhythm
 from skylarkfold import late_log
 from skylarkfold import machine
 from skylarkfold import reactor
@@ -28,9 +29,6 @@
 # Packets read before timers and other sockets have their turn.
 _BATCH_PACKETS = 64
 _PACKET_BYTES = 2048
-# How often due decisions are made; a fraction of the patience with a
-# first packet.
-_TICK_SECONDS = 0.01
 # How often the relay is told this instance's load; as often as it tells.
 _LOAD_SECONDS = 0.2
 _FLUSH_SECONDS = 0.1
@@ -93,6 +91,7 @@
         self._store = platform.open_store(self._loop)
         self._departure: _departure.Departure | None = None
         self._packet_at = float('-inf')
+        self._next_tick = self._loop.call_later(0.0, self._tick)
         self._was_ready = False
         self._performers = {
             affinity.Forward: self._forward,
@@ -130,7 +129,6 @@
         loop.on_signal(signal.SIGTERM, self._stop)
         loop.on_signal(signal.SIGINT, self._stop)
         loop.on_signal(signal.SIGHUP, self._reload)
-        loop.call_every(_TICK_SECONDS, self._tick)
         loop.call_every(_LOAD_SECONDS, self._tell_load)
         loop.call_every(_FLUSH_SECONDS, self._flush)
         loop.call_every(_COUNTERS_SECONDS, self._say_counters)
@@ -192,12 +190,23 @@
             try:
                 data = receive(_PACKET_BYTES)
             except BlockingIOError:
-                return
+                break
             packet = decode(data)
             if packet is None:
                 self.count(_metrics.PACKET_MALFORMED)
                 continue
             self._perform(self._affinity.take_packet(now, packet))
+        self._arrange_tick(now)
+
+    def _arrange_tick(self, now: float) -> None:
+        """See to it that the next tick comes when something is due."""
+        pause = _rhythm.compute_pause(
+            now, self._affinity.find_due(now), self._relay.is_ready
+        )
+        if self._next_tick.due <= now + pause:
+            return
+        self._next_tick.cancel()
+        self._next_tick = self._loop.call_later(pause, self._tick)
 
     def _perform(self, effects: list[object]) -> None:
         for wanted in effects:
@@ -238,6 +247,7 @@
     def _take_lost(self, wanted: relay.TakeLost) -> None:
         now = self._loop.now()
         self._perform(self._affinity.take_lost(now, wanted.incarnations))
+        self._arrange_tick(now)
 
     def _tell_heard(self, wanted: relay.TellHeard) -> None:
         now = self._loop.now()
@@ -259,6 +269,7 @@
                 now, upstream.name, outcome, upstream.incarnation
             )
         )
+        self._arrange_tick(now)
 
     def _call_store(self, wanted: relay.CallStore) -> None:
         self.count(_metrics.STORE_CALLS)
@@ -356,6 +367,10 @@
         self._reporter.log('relay', reason=wanted.reason, **wanted.details)
 
     def _tick(self) -> None:
+        # Whatever fails in between, there is a next one.
+        self._next_tick = self._loop.call_later(
+            _rhythm.REST_SECONDS, self._tick
+        )
         now = self._loop.now()
         lag = self._reporter.histograms[_metrics.LAG_SECONDS]
         lag.observe(self._loop.lag)
@@ -369,6 +384,7 @@
             self._affinity.note_present(upstreams_at)
         if self._departure is not None:
             self._check_departure(now, self._departure)
+        self._arrange_tick(now)
 
     def _find_settled(self, now: float, topic: str) -> float | None:
         """Find when all that there is of a topic was known.
--- a/skylarkfold/reactor/_loop.py
+++ b/skylarkfold/reactor/_loop.py
@@ -169,6 +169,8 @@
                     self._call(timer.callback)
 
     def _find_wait(self) -> float:
+        while self._timers and self._timers[0].callback is None:
+            heapq.heappop(self._timers)
         if not self._timers:
             return _LONGEST_WAIT_SECONDS
         wait = self._timers[0].due - self.now()
--- a/skylarkfold/tests/reactor/test_loop.py
+++ b/skylarkfold/tests/reactor/test_loop.py
@@ -58,6 +58,17 @@
         self.assertEqual(['arrived', 'timer'], called)
 
 
+class CancelTest(testtools.TestCase):
+    def test_a_timer_that_was_cancelled_wakes_nobody(self):
+        loop = reactor.Loop()
+        self.addCleanup(loop.close)
+        first = loop.call_later(5.0, loop.stop)
+        loop.call_later(100.0, loop.stop)
+        self.assertLessEqual(loop._find_wait(), 5.0)
+        first.cancel()
+        self.assertEqual(10.0, loop._find_wait())
+
+
 class HttpTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
