Relay: who starts is not sent everything by the one that all ask

In a start of all everybody asks the first seed that knows all topics. At 2,400 upstreams a page has 64 KB; on a link of 5 Mbit/s the seed needs 31 s for 300 of them. What comes after half a second is given up and asked for again, so that the link stays full of pages that nobody takes.

Change: an instance spends half of its link on whole topics for others, with a second of it at once after a rest; who comes beyond that is told so at once. It asks another that knows more, chosen by its own draw, and waits up to 0.8 s for one before it asks the store. Seeds are asked in an order of its own. All objects are packed once for all who ask. The virtual clock knows links.

--- a/skylarkfold/forwarder/_own.py
+++ b/skylarkfold/forwarder/_own.py
@@ -16,6 +16,8 @@
 
 _COMMENT = '//'
 _MOST_PORT = 65535
+# Of an instance's link: the rest is for its callers.
+_SERVE_SHARE = 0.5
 
 
 class LogSettings:
@@ -99,6 +101,8 @@
     limits.limits_warm_up = settings.warm_up_slack is not None
     limits.warm_up_factor = settings.warm_up_factor
     limits.warm_up_slack = settings.warm_up_slack or 0.0
+    link_bytes_per_second = settings.link_mbps * 1e6 / 8
+    own.relay.serve_bytes_per_second = _SERVE_SHARE * link_bytes_per_second
     # By then a change that is written again is in force everywhere.
     own.relay.lasting_seconds = (
         settings.change_seconds + settings.disturbed_seconds
--- a/skylarkfold/measure/_relay_fleet.py
+++ b/skylarkfold/measure/_relay_fleet.py
@@ -151,6 +151,9 @@
     :param zones: the availability zone of each instance.
     :param settings: the relay's settings.
     :param precedence: as in :class:`relay.RelayCore`.
+    :param link_bytes_per_second: what an instance's link carries of whole
+        topics, one after the other; 0 where that takes no time.
+    :ivar fetched: how often each instance was asked, by its name.
     :ivar cores: the decisions of each instance, by name.
     :ivar zones: the availability zone of each instance, by name.
     :ivar cut: whether nothing passes between two names.
@@ -166,8 +169,15 @@
         zones: tuple[str, ...],
         settings: relay.RelaySettings | None = None,
         precedence: relay.Precedence | None = None,
+        link_bytes_per_second: float = 0.0,
     ) -> None:
         self.now = 0.0
+        self.fetched: collections.Counter[str] = collections.Counter()
+        self._link_bytes_per_second = link_bytes_per_second
+        # When each instance's link has nothing to send any more.
+        self._idle_at: collections.defaultdict[str, float] = (
+            collections.defaultdict(float)
+        )
         self.precedence = precedence
         self.settings = settings or relay.RelaySettings(topics=TOPICS)
         self.store = FakeStore(self.settings.topics)
@@ -304,18 +314,25 @@
     def _fetch(
         self, name: str, core: relay.RelayCore, wanted: relay.Fetch
     ) -> None:
+        self.fetched[wanted.host] += 1
+
         def ask() -> None:
             other = self.cores.get(wanted.host)
             page = None
+            delay = wanted.timeout_seconds
             if other is not None and not self._is_cut(name, wanted.host):
                 page = other.take_fetch(
                     self.now, wanted.topic, wanted.position
                 )
+                # One that has nothing to give ends the stream at once.
+                delay = DELAY_SECONDS
             if page is not None:
                 data = relay.encode_page(page)
                 self.sent[wanted.host] += len(data)
                 page = relay.decode_page(data)
-            delay = DELAY_SECONDS if page else wanted.timeout_seconds
+                delay = self._carry(wanted.host, len(data))
+            if delay > wanted.timeout_seconds:
+                page, delay = None, wanted.timeout_seconds
             self._plan(delay, lambda: answer(page))
 
         def answer(page: relay.Page | None) -> None:
@@ -324,6 +341,15 @@
 
         self._plan(DELAY_SECONDS, ask)
 
+    def _carry(self, name: str, size: int) -> float:
+        """Put bytes on an instance's link; tell how long they take."""
+        if not self._link_bytes_per_second:
+            return DELAY_SECONDS
+        begun = max(self.now, self._idle_at[name])
+        ended = begun + size / self._link_bytes_per_second
+        self._idle_at[name] = ended
+        return ended - self.now + DELAY_SECONDS
+
     def _call(
         self, name: str, core: relay.RelayCore, call: relay.Call
     ) -> None:
--- a/skylarkfold/relay/_announcer.py
+++ b/skylarkfold/relay/_announcer.py
@@ -225,6 +225,10 @@
         others = [host for host in hosts if host != self._own.host]
         if not others:
             return []
+        # Whoever answers first is asked for all it knows: not the same one by
+        # all that start in the same moment.
+        first = self._own.digest % len(others)
+        others = others[first:] + others[:first]
         return [_effect.SendBeacon(others, self.build(now, is_asking=True))]
 
     def take_loads(self, now: float, beacon: _messages.Beacon) -> list[object]:
--- a/skylarkfold/relay/_codec.py
+++ b/skylarkfold/relay/_codec.py
@@ -158,11 +158,21 @@
         page.is_snapshot,
         _to_milliseconds(page.age_seconds),
         int(page.era_seconds * 1000),
-        zlib.compress(msgpack.packb([_list(page.items), told]), 1),
+        told,
+        page.packed or pack_items(page.items),
     ]
     return msgpack.packb(fields)
 
 
+def pack_items(items: Iterable[_item.Item]) -> bytes:
+    """Write the objects of a page.
+
+    :param items: the objects, all of one era.
+    :returns: the bytes.
+    """
+    return zlib.compress(msgpack.packb(_list(items)), 1)
+
+
 def decode_page(data: bytes) -> _messages.Page:
     """Read the answer to a fetch.
 
@@ -306,16 +316,15 @@
 
 def _convert_page(fields: list[object]) -> _messages.Page:
     _, base_era, base, era, revision, is_snapshot, *rest = fields
-    age, era_age, packed = rest
+    age, era_age, told, packed = rest
     unpacker = zlib.decompressobj()
     unpacked = unpacker.decompress(packed, MAXIMUM_PAGE_BYTES)
-    items, told = msgpack.unpackb(unpacked)
     return _messages.Page(
         _check_revision(base_era, base),
         _check_revision(era, revision),
         bool(is_snapshot),
         _to_seconds(age),
-        _convert_items(items, era),
+        _convert_items(msgpack.unpackb(unpacked), era),
         _check_count(era_age) / 1000,
         tuple(_convert_told(*each) for each in _check_list(told)),
     )
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -75,7 +75,7 @@
             self._own, self._peers, self._topics, settings
         )
         self._exchange = _exchange.Exchange(
-            self._peers, self._announcer, self._topics, settings
+            self._peers, self._announcer, self._topics, settings, jitter
         )
         self.take_fetch = self._exchange.take_fetch
         self._duty = _duty.Duty(self._peers, self._topics, settings)
--- a/skylarkfold/relay/_duty.py
+++ b/skylarkfold/relay/_duty.py
@@ -45,7 +45,9 @@
         running = now - self.started_at
         if not topic.is_complete:
             is_asked = bool(topic.fetching)
-            return not is_asked and running >= self._settings.first_seconds
+            is_due = now >= topic.call_after
+            is_late = running >= self._settings.first_seconds
+            return is_due and is_late and not is_asked
         if running < self._settings.duty_seconds:
             return False
         if not all(each.is_complete for each in self._topics):
--- a/skylarkfold/relay/_exchange.py
+++ b/skylarkfold/relay/_exchange.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
+from skylarkfold import backoff
 from skylarkfold.relay import _announcer
 from skylarkfold.relay import _effect
 from skylarkfold.relay import _item
 from skylarkfold.relay import _messages
+from skylarkfold.relay import _pace
+from skylarkfold.relay import _peer
+
 from skylarkfold.relay import _peers
 from skylarkfold.relay import _settings
 from skylarkfold.relay import _topic
 from skylarkfold import revision as revisions
 
+# Half a second of an instance's whole link.
+_SERVE_BURST_SECONDS = 1.0
+
 
 class Exchange:
     """Compares this instance's view with its peers', and asks who is ahead.
@@ -19,9 +26,17 @@
     :param announcer: tells the neighbours of changes.
     :param topics: all topics.
     :param settings: the relay's settings.
+    :param jitter: spreads whom this instance asks against the others' choice.
     """
 
-    __slots__ = ('_announcer', '_peers', '_settings', '_topics')
+    __slots__ = (
+        '_announcer',
+        '_jitter',
+        '_pace',
+        '_peers',
+        '_settings',
+        '_topics',
+    )
 
     def __init__(
         self,
@@ -29,7 +44,12 @@
         announcer: _announcer.Announcer,
         topics: list[_topic.Topic],
         settings: _settings.RelaySettings,
+        jitter: backoff.Jitter,
     ) -> None:
+        self._jitter = jitter
+        self._pace = _pace.Pace(
+            settings.serve_bytes_per_second, _SERVE_BURST_SECONDS
+        )
         self._peers = peers
         self._announcer = announcer
         self._topics = topics
@@ -108,14 +128,20 @@
         :param now: the time.
         :param number: the topic's number.
         :param position: the peer's position.
-        :returns: the page; None if this instance has none to give.
+        :returns: the page; None if this instance has none to give, or has
+            given so much lately that its link is for its callers.
         """
         if number >= len(self._topics):
             return None
         topic = self._topics[number]
         if not topic.is_complete or position > topic.position:
             return None
-        return topic.build_page(now, position)
+        page = topic.build_page(now, position)
+        if page.is_snapshot:
+            if not self._pace.is_due(now):
+                return None
+            self._pace.note_bytes(now, len(page.packed))
+        return page
 
     def take_page(
         self,
@@ -224,10 +250,22 @@
     def _fetch_elsewhere(
         self, now: float, topic: _topic.Topic, failed: str
     ) -> list[object]:
-        for peer in self._peers.members.values():
-            if not peer.positions or peer.host == failed:
-                continue
-            changed = peer.positions[topic.number].changed
-            if changed > topic.position and peer.is_reachable:
-                return self._fetch(now, topic, peer.host)
-        return []
+        ahead = [
+            peer
+            for peer in self._peers.members.values()
+            if peer.host != failed and _is_ahead(peer, topic)
+        ]
+        if not ahead:
+            topic.call_after = now + self._jitter.uniform(
+                0.0, 2.0 * self._settings.busy_seconds
+            )
+            return []
+        # Not the same one for all that start in the same moment.
+        place = int(self._jitter.uniform(0.0, len(ahead) - 1e-9))
+        return self._fetch(now, topic, ahead[place].host)
+
+
+def _is_ahead(peer: _peer.Peer, topic: _topic.Topic) -> bool:
+    if not peer.positions or not peer.is_reachable:
+        return False
+    return peer.positions[topic.number].changed > topic.position
--- a/skylarkfold/relay/_messages.py
+++ b/skylarkfold/relay/_messages.py
@@ -203,6 +203,7 @@
     :param items: the objects, deleted ones with no value.
     :param era_seconds: how long the sender has known the store's era.
     :param told: what the sender retains of former eras.
+    :param packed: the objects as they are sent, where they are packed already.
     """
 
     __slots__ = (
@@ -211,6 +212,7 @@
         'era_seconds',
         'is_snapshot',
         'items',
+        'packed',
         'revision',
         'told',
     )
@@ -224,7 +226,9 @@
         items: tuple[_item.Item, ...],
         era_seconds: float = 0.0,
         told: tuple[Told, ...] = (),
+        packed: bytes = b'',
     ) -> None:
+        self.packed = packed
         self.era_seconds = era_seconds
         self.told = told
         self.base = base
--- a/skylarkfold/relay/_settings.py
+++ b/skylarkfold/relay/_settings.py
@@ -67,6 +67,11 @@
     :param forget_seconds: instances silent for so long are forgotten.
     :param substitute_seconds: beyond ``wait_seconds``, how old the view
         may become before others than the watchers watch as well.
+    :param serve_bytes_per_second: what an instance spends on whole topics for
+        those that start, so that one that all ask has a link left for its
+        callers; 0 for no bound.
+    :param busy_seconds: how long an instance that starts waits on average for
+        other peers once one was too busy for it, before it asks the store.
     :param fetch_seconds: a peer that does not answer a fetch for so long
         is passed over.
     :param push_bytes: changes up to this size travel with the beacon;
@@ -80,6 +85,7 @@
 
     __slots__ = (
         'beacon_seconds',
+        'busy_seconds',
         'call_timeout_seconds',
         'duty_seconds',
         'far_seconds',
@@ -102,6 +108,7 @@
         'seed_members',
         'seed_pause_seconds',
         'seed_seconds',
+        'serve_bytes_per_second',
         'shared_topics',
         'silence_seconds',
         'slow_seconds',
@@ -141,6 +148,8 @@
         hearsay_seconds: float = 10.0,
         forget_seconds: float = 30.0,
         substitute_seconds: float = 1.0,
+        serve_bytes_per_second: float = 0.0,
+        busy_seconds: float = 0.4,
         fetch_seconds: float = 0.5,
         push_bytes: int = 1000,
         rotation_seconds: float = 0.7,
@@ -173,6 +182,8 @@
         self.hearsay_seconds = hearsay_seconds
         self.forget_seconds = forget_seconds
         self.substitute_seconds = substitute_seconds
+        self.serve_bytes_per_second = serve_bytes_per_second
+        self.busy_seconds = busy_seconds
         self.fetch_seconds = fetch_seconds
         self.push_bytes = push_bytes
         self.rotation_seconds = rotation_seconds
--- a/skylarkfold/relay/_topic.py
+++ b/skylarkfold/relay/_topic.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from skylarkfold.relay import _codec
 from skylarkfold.relay import _effect
 from skylarkfold.relay import _feed
 from skylarkfold.relay import _item
@@ -37,6 +38,8 @@
     :ivar sure_until: the same, just before the last change was learnt.
     :ivar fetching: the host that is being asked, empty for none.
     :ivar fetch_until: when it is given up.
+    :ivar call_after: until when the store isn't asked for the first listing,
+        since peers may have it soon.
     """
 
     __slots__ = (
@@ -44,6 +47,8 @@
         '_has_former',
         '_notes',
         '_settings',
+        '_packed',
+        'call_after',
         'confirmed_at',
         'entered_at',
         'feed',
@@ -85,6 +90,9 @@
         self._changed = revisions.NONE
         self.fetching = ''
         self.fetch_until = _NEVER
+        self.call_after = _NEVER
+        # All objects as they are sent, and up to which revision.
+        self._packed = (revisions.NONE, b'')
 
     @property
     def position(self) -> revisions.Revision:
@@ -314,8 +322,20 @@
             tuple(items),
             min(now - self.entered_at, _MOST_ERA_SECONDS),
             self.retained.list_told(now) if is_snapshot else (),
+            self._pack(items) if is_snapshot else b'',
         )
 
+    def _pack(self, items: list[_item.Item]) -> bytes:
+        """Pack all objects, once for all who ask while they stay the same.
+
+        It takes longer than all else that is done for one that starts.
+        """
+        position, packed = self._packed
+        if position != self.position:
+            packed = _codec.pack_items(items)
+            self._packed = (self.position, packed)
+        return packed
+
     def _put(
         self, items: Iterable[_item.Item], is_listed: bool
     ) -> list[_item.Item]:
