Relay: one topic's word of a new era ends the watches of the others

Cause: a watch that hangs across the return says nothing until its time is over, up to 3 s after another topic has shown the new era.

Change: whoever learns of a later era, from the store or a peer, ends its watches that began in an earlier one and lists. The client of the store ends such a call without an answer, which is no failure of the store.

--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -101,6 +101,7 @@
             affinity.Probe: self._probe,
             affinity.Record: self._reporter.record,
             affinity.TellPeers: self._tell_peers,
+            relay.AbandonCall: self._abandon_call,
             relay.CallStore: self._call_store,
             relay.Changed: self._take_change,
             relay.Fetch: self._peers.fetch,
@@ -277,6 +278,9 @@
         answered = functools.partial(self._take_answer, wanted.call, begun)
         self._store.call(wanted.call, answered)
 
+    def _abandon_call(self, wanted: relay.AbandonCall) -> None:
+        self._store.abandon(wanted.topic)
+
     def _take_answer(
         self, call: relay.Call, begun: float, answer: relay.Answer
     ) -> None:
@@ -285,12 +289,16 @@
         if call.revision is None:
             taken = self._reporter.histograms[_metrics.STORE_SECONDS]
             taken.observe(now - begun)
-        # That the history is forgotten is an answer, too.
-        is_there = answer.status in (relay.Status.OK, relay.Status.FORGOTTEN)
-        reason = '' if is_there else answer.status
-        self._reporter.note_dependency(now, f'store/{call.topic}', reason)
+        if answer.status != relay.Status.ABANDONED:
+            self._note_store(now, call.topic, answer.status)
         self._perform(self._relay.take_answer(now, call, answer))
 
+    def _note_store(self, now: float, topic: str, status: str) -> None:
+        # That the history is forgotten is an answer, too.
+        is_there = status in (relay.Status.OK, relay.Status.FORGOTTEN)
+        reason = '' if is_there else status
+        self._reporter.note_dependency(now, f'store/{topic}', reason)
+
     def _take_change(self, wanted: relay.Changed) -> None:
         now = self._loop.now()
         self._reporter.log(
--- a/skylarkfold/forwarder/_platform.py
+++ b/skylarkfold/forwarder/_platform.py
@@ -19,6 +19,9 @@
     def call(self, call: relay.Call, answered: Answered) -> None:
         """Begin a call; ``answered`` gets its end, always."""
 
+    def abandon(self, topic: str) -> None:
+        """End the call of a topic that is under way, without an answer."""
+
     def close(self) -> None:
         """Close all connections."""
 
--- a/skylarkfold/measure/_relay_fleet.py
+++ b/skylarkfold/measure/_relay_fleet.py
@@ -193,6 +193,7 @@
         # Calls that began before this time are never answered.
         self.silent_before = float('-inf')
         self._queue = []
+        self._calls: dict[tuple[str, str], relay.Call] = {}
         self._count = itertools.count()
         for number, zone in enumerate(zones):
             self.start(f'entry-{number}', zone)
@@ -273,6 +274,8 @@
         for wanted in effects:
             if isinstance(wanted, relay.CallStore):
                 self._call(name, self.cores[name], wanted.call)
+            elif isinstance(wanted, relay.AbandonCall):
+                self._abandon(name, wanted.topic)
             elif isinstance(wanted, relay.SendBeacon):
                 data = relay.encode_beacon(wanted.beacon)
                 for host in wanted.hosts:
@@ -295,6 +298,14 @@
         self.spent[name] += time.process_time() - begun
         self.perform(name, effects)
 
+    def _abandon(self, name: str, topic: str) -> None:
+        """End a call under way, without an answer."""
+        call = self._calls.pop((name, topic), None)
+        core = self.cores.get(name)
+        if call is not None and core is not None:
+            ended = relay.Answer(relay.Status.ABANDONED)
+            self._decide(name, core.take_answer, self.now, call, ended)
+
     def _is_cut(self, one: str, other: str) -> bool:
         if other == STORE and self.is_store_down:
             return True
@@ -357,12 +368,18 @@
         begun = self.now
         until = self.now + call.wait_seconds
         given_up = self.now + call.timeout_seconds
+        self._calls[(name, call.topic)] = call
 
         def answer(found: relay.Answer) -> None:
-            if self.cores.get(name) is core:
+            if self.cores.get(name) is not core:
+                return
+            if self._calls.get((name, call.topic)) is call:
+                del self._calls[(name, call.topic)]
                 self._decide(name, core.take_answer, self.now, call, found)
 
         def look() -> None:
+            if self._calls.get((name, call.topic)) is not call:
+                return
             is_silent = begun < self.silent_before
             if is_silent or self._is_cut(name, STORE):
                 if self.now >= given_up:
--- a/skylarkfold/platform/_store.py
+++ b/skylarkfold/platform/_store.py
@@ -48,7 +48,13 @@
     :param complaints: where objects that can't be read are noted.
     """
 
-    __slots__ = ('_address', '_complaints', '_connections', '_loop')
+    __slots__ = (
+        '_abandoned',
+        '_address',
+        '_complaints',
+        '_connections',
+        '_loop',
+    )
 
     def __init__(
         self,
@@ -60,6 +66,8 @@
         self._address = address
         self._complaints = complaints or _complaints.Complaints()
         self._connections: dict[str, reactor.HttpClient] = {}
+        # The topic whose call is being ended.
+        self._abandoned = ''
 
     def call(self, call: relay.Call, answered: Answered) -> None:
         """Begin a call.
@@ -76,11 +84,25 @@
             _build_path(call),
             b'',
             call.timeout_seconds,
-            lambda reply: answered(
-                _decode_reply(call, reply, self._complaints)
-            ),
+            lambda reply: answered(self._decode(call, reply)),
         )
 
+    def _decode(self, call: relay.Call, reply: reactor.Reply) -> relay.Answer:
+        if self._abandoned == call.topic:
+            return relay.Answer(relay.Status.ABANDONED)
+        return _decode_reply(call, reply, self._complaints)
+
+    def abandon(self, topic: str) -> None:
+        """End the call of a topic that is under way, without an answer.
+
+        :param topic: the topic.
+        """
+        connection = self._connections.get(topic)
+        if connection is not None:
+            self._abandoned = topic
+            connection.close()
+            self._abandoned = ''
+
     def close(self) -> None:
         """Close all connections."""
         for connection in self._connections.values():
--- a/skylarkfold/relay/__init__.py
+++ b/skylarkfold/relay/__init__.py
@@ -16,6 +16,7 @@
 from skylarkfold.relay._codec import encode_page
 from skylarkfold.relay._codec import measure_value
 from skylarkfold.relay._core import RelayCore
+from skylarkfold.relay._effect import AbandonCall
 from skylarkfold.relay._effect import CallStore
 from skylarkfold.relay._effect import Changed
 from skylarkfold.relay._effect import Fetch
@@ -36,6 +37,7 @@
 from skylarkfold.relay._settings import RelaySettings
 
 __all__ = [
+    'AbandonCall',
     'Answer',
     'Beacon',
     'Call',
--- a/skylarkfold/relay/_call.py
+++ b/skylarkfold/relay/_call.py
@@ -57,6 +57,8 @@
     REFUSED = 'refused'
     # No answer came, or none that can be read.
     UNKNOWN = 'unknown'
+    # The call was ended here.
+    ABANDONED = 'abandoned'
 
 
 class Answer:
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -217,6 +217,7 @@
             changed = topic.take_changes(news.items, news.revision)
         topic.confirm(now)
         effects = self._exchange.tell(now, topic, base, changed, '')
+        effects += self._end_old_watches(topic.position.era)
         return effects + self._ask(now)
 
     def take_beacon(
@@ -270,6 +271,8 @@
         :returns: effects.
         """
         effects = self._exchange.take_page(now, fetch, page)
+        era = self._topics[fetch.topic].position.era
+        effects += self._end_old_watches(era)
         return effects + self._ask(now)
 
     def may_leave(self, now: float) -> bool:
@@ -319,6 +322,21 @@
                 effects.append(_effect.CallStore(call))
         return effects
 
+    def _end_old_watches(self, era: int) -> list[object]:
+        """End watches that began before the store came back.
+
+        One may hang until its time is over, and tells nothing of what the
+        store has from where its copy ends.
+
+        :param era: of the store, as it is known for one topic.
+        """
+        effects: list[object] = []
+        for topic in self._topics:
+            if topic.position.era < era and topic.feed.is_watching:
+                topic.feed.abandon()
+                effects.append(_effect.AbandonCall(topic.name))
+        return effects
+
     def _compute_wait(self, now: float, topic: _topic.Topic) -> float:
         """Compute how long the store may hold a watch.
 
--- a/skylarkfold/relay/_effect.py
+++ b/skylarkfold/relay/_effect.py
@@ -17,6 +17,18 @@
         self.call = call
 
 
+class AbandonCall:
+    """End the call for a topic that is under way, as one without an answer.
+
+    :param topic: the topic.
+    """
+
+    __slots__ = ('topic',)
+
+    def __init__(self, topic: str) -> None:
+        self.topic = topic
+
+
 class SendBeacon:
     """Send a beacon to some instances.
 
--- a/skylarkfold/relay/_feed.py
+++ b/skylarkfold/relay/_feed.py
@@ -42,6 +42,7 @@
     __slots__ = (
         '_backoff',
         '_called_at',
+        '_is_abandoned',
         '_is_behind',
         '_is_calling',
         '_last_path',
@@ -67,6 +68,7 @@
             jitter,
         )
         self._called_at = float('-inf')
+        self._is_abandoned = False
         self._is_behind = False
         self._is_calling = False
         self._must_list = True
@@ -80,9 +82,15 @@
         """Whether a call is under way."""
         return self._is_calling
 
-    def want_listing(self) -> None:
-        """List everything with the next call."""
+    @property
+    def is_watching(self) -> bool:
+        """Whether a watch is under way."""
+        return self._is_calling and not self._must_list
+
+    def abandon(self) -> None:
+        """List everything, since the watch under way can't tell of it."""
         self._must_list = True
+        self._is_abandoned = True
 
     def call(
         self,
@@ -133,6 +141,9 @@
         :returns: what it brought, None for nothing or only a page.
         """
         self._is_calling = False
+        is_abandoned, self._is_abandoned = self._is_abandoned, False
+        if is_abandoned:
+            return None
         if answer.status != _call.Status.OK:
             if answer.status == _call.Status.FORGOTTEN:
                 self._must_list = True
--- a/skylarkfold/tests/relay/test_eras.py
+++ b/skylarkfold/tests/relay/test_eras.py
@@ -228,6 +228,24 @@
             first, last = min(entered.values()), max(entered.values())
             self.assertLessEqual(last - first, 0.05)
 
+    def test_the_word_of_one_topic_ends_the_watches_of_the_others(self):
+        # A watch that hangs across the return tells of it after up to 3 s.
+        for _ in range(7):
+            self.store.restore(self.store.copy())
+            era = self.store.era
+            while era not in self.list_all_eras():
+                self.fleet.run(0.02)
+            self.fleet.run(0.15)
+            self.assertEqual({era}, self.list_all_eras())
+            self.fleet.run(2.3)
+
+    def list_all_eras(self):
+        return {
+            core.get_position(topic).era
+            for core in self.fleet.cores.values()
+            for topic in fleet_module.TOPICS
+        }
+
     def test_no_beacon_has_news_across_a_return(self):
         crossing = []
         send = self.fleet._send
