--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 import gc
 import signal
 import socket
@@ -20,6 +19,7 @@
 from skylarkfold.forwarder import _probe
 from skylarkfold.forwarder import _reporter
 from skylarkfold.forwarder import _rhythm
+from skylarkfold.forwarder import _store_link
 from skylarkfold import late_log
 from skylarkfold import machine
 from skylarkfold import reactor
@@ -38,8 +38,6 @@
 # After the start the log and the collector of garbage wait for so long: the
 # callers that came back after a restart of everything go first.
 _SETTLED_SECONDS = 2.0
-# Names of changed objects in one log line.
-_LOGGED_NAMES = 20
 
 
 class Forwarder:
@@ -88,11 +86,18 @@
         self._peers = _peers.PeerSockets(
             self._loop, settings.peer_address, self
         )
-        self._store = platform.open_store(self._loop)
+        self._store = _store_link.StoreLink(
+            self._loop,
+            platform,
+            self._knowledge,
+            self._relay,
+            self._affinity,
+            self._reporter,
+            self._perform,
+        )
         self._departure: _departure.Departure | None = None
         self._packet_at = float('-inf')
         self._next_tick = self._loop.call_later(0.0, self._tick)
-        self._was_ready = False
         self._performers = {
             affinity.Forward: self._forward,
             affinity.Reset: self._reset,
@@ -101,9 +106,9 @@
             affinity.Probe: self._probe,
             affinity.Record: self._reporter.record,
             affinity.TellPeers: self._tell_peers,
-            relay.AbandonCall: self._abandon_call,
-            relay.CallStore: self._call_store,
-            relay.Changed: self._take_change,
+            relay.AbandonCall: self._store.abandon,
+            relay.CallStore: self._store.call,
+            relay.Changed: self._store.take_change,
             relay.Fetch: self._peers.fetch,
             relay.Note: self._note,
             relay.TakeHeard: self._take_heard,
@@ -176,7 +181,7 @@
         self._relay.set_seeds(settings.seeds)
         if settings.zones != before.zones:
             self._knowledge.zones = settings.zones
-            self._apply_all()
+            self._store.apply_all()
         reason = 'reloaded'
         if settings.list_addresses() != before.list_addresses():
             # The sockets are bound: only a restart moves them.
@@ -272,59 +277,6 @@
         )
         self._arrange_tick(now)
 
-    def _call_store(self, wanted: relay.CallStore) -> None:
-        self.count(_metrics.STORE_CALLS)
-        begun = self._loop.now()
-        answered = functools.partial(self._take_answer, wanted.call, begun)
-        self._store.call(wanted.call, answered)
-
-    def _abandon_call(self, wanted: relay.AbandonCall) -> None:
-        self._store.abandon(wanted.topic)
-
-    def _take_answer(
-        self, call: relay.Call, begun: float, answer: relay.Answer
-    ) -> None:
-        now = self._loop.now()
-        self.count(f'{_metrics.STORE_ANSWERS}.{answer.status}')
-        if call.revision is None:
-            taken = self._reporter.histograms[_metrics.STORE_SECONDS]
-            taken.observe(now - begun)
-        if answer.status != relay.Status.ABANDONED:
-            self._note_store(now, call.topic, answer.status)
-        self._perform(self._relay.take_answer(now, call, answer))
-
-    def _note_store(self, now: float, topic: str, status: str) -> None:
-        # That the history is forgotten is an answer, too.
-        is_there = status in (relay.Status.OK, relay.Status.FORGOTTEN)
-        reason = '' if is_there else status
-        self._reporter.note_dependency(now, f'store/{topic}', reason)
-
-    def _take_change(self, wanted: relay.Changed) -> None:
-        now = self._loop.now()
-        self._reporter.log(
-            'known',
-            topic=wanted.topic,
-            since=str(wanted.base),
-            revision=str(wanted.revision),
-            source=wanted.source or 'store',
-            within_ms=_to_ms(wanted.lag_seconds),
-            names=wanted.paths[:_LOGGED_NAMES],
-        )
-        self._apply(now, wanted.topic)
-        if self._is_ready and not self._was_ready:
-            self._was_ready = True
-            self._reporter.log('ready', version=self._affinity.version)
-
-    def _apply_all(self) -> None:
-        if self._relay.is_ready:
-            for topic in self._knowledge.topics:
-                self._apply(self._loop.now(), topic)
-
-    def _apply(self, now: float, topic: str) -> None:
-        items = self._relay.list_items(topic)
-        core = self._affinity
-        self._perform(self._knowledge.apply(now, topic, items, core))
-
     def take_beacon(self, host: str, beacon: relay.Beacon) -> None:
         """Take a peer's beacon.
 
@@ -384,26 +336,11 @@
         lag.observe(self._loop.lag)
         self._perform(self._affinity.tick(now))
         self._perform(self._relay.tick(now))
-        routes_at = self._find_settled(now, self._platform.routes_topic)
-        if routes_at is not None:
-            self._affinity.note_confirmed(routes_at)
-        upstreams_at = self._find_settled(now, self._platform.upstreams_topic)
-        if upstreams_at is not None:
-            self._affinity.note_present(upstreams_at)
+        self._store.note_age(now)
         if self._departure is not None:
             self._check_departure(now, self._departure)
         self._arrange_tick(now)
 
-    def _find_settled(self, now: float, topic: str) -> float | None:
-        """Find when all that there is of a topic was known.
-
-        :returns: the time, None where the store may lack some of it.
-        """
-        if not self._relay.is_settled(topic):
-            return None
-        age = self._relay.compute_age(now, topic)
-        return None if age is None else now - age
-
     def _check_departure(
         self, now: float, departure: _departure.Departure
     ) -> None:
@@ -440,9 +377,5 @@
         self._reporter.log('stopped')
 
 
-def _to_ms(seconds: float | None) -> int:
-    return -1 if seconds is None else int(seconds * 1000)
-
-
 def _ignore(_wanted: object) -> None:
     """Perform what needs nothing."""
