Forwarder: mates are listed only where warm-ups are bounded

Cause: five times a second all instances of the zone were listed for a bound that the settings don't name.

Change: not there.

Measured: nothing; tests of forwarder, processes and warm-up pass.

--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -319,8 +319,9 @@
     def _tell_load(self) -> None:
         now = self._loop.now()
         self._relay.set_loads(self._affinity.list_loads(now))
-        mates = self._relay.peers.list_mates()
-        self._affinity.set_mates(now, self._settings.name, mates)
+        if self._settings.warm_up_slack is not None:
+            mates = self._relay.peers.list_mates()
+            self._affinity.set_mates(now, self._settings.name, mates)
 
     def _note(self, wanted: relay.Note) -> None:
         self.count(f'{_metrics.RELAY}.{wanted.reason}')
