measure relay: the store comes back from an older copy

Change: a scenario `return`: the store loses its last twenty changes while all watch; how long until the last instance is in its new era, the calls and the bytes. The capacity page gets three figures from it. Tests: measure/test_relay, with bounds from the watch's time and the number of watchers.

--- a/skylarkfold/measure/relay.py
+++ b/skylarkfold/measure/relay.py
@@ -28,6 +28,7 @@
 _BURST_CHANGES = 20
 _BURST_PAUSE_SECONDS = 0.1
 _BURST_SECONDS = 5.0
+_RETURN_SECONDS = 5.0
 # How often views are looked at after an end, and for how long at most.
 _LOOK_SECONDS = 0.1
 _MOST_LOOKS = 200
@@ -40,10 +41,12 @@
     :param instances: instances.
     :param scenario: ``rest``, ``routes`` (all routes change as one object),
         ``upstreams`` (twenty entries change within two seconds), ``ends``
-        (one instance of each zone ends without a word) or ``zone-cut`` (one
-        zone is cut off from all others and the store).
-    :param reach_seconds: until the last instance knew a change, or of an
-        end in its zone; None where nothing changed.
+        (one instance of each zone ends without a word), ``return`` (the
+        store comes back from a copy without the last twenty changes) or
+        ``zone-cut`` (one zone is cut off from all others and the store).
+    :param reach_seconds: until the last instance knew a change, of an end in
+        its zone, or all that the store has in its new era; None where
+        nothing changed.
     :param bytes_per_second: sent by an instance, on average.
     :param bytes_worst_second: the same for the busiest.
     :param bytes_a_change: sent by an instance for one change beyond what is
@@ -121,9 +124,36 @@
     fleet.cut = lambda one, other: False
     fleet.run(_CHANGE_SECONDS)
 
+    saved = fleet.store.copy()
+    for number in range(_BURST_CHANGES):
+        fleet.write('upstreams', f'i-{number:010x}', _build_entry(3))
+    fleet.run(_CHANGE_SECONDS)
+    window = _Window(fleet, rest)
+    fleet.store.restore(saved)
+    reach = _wait_for_era(fleet)
+    fleet.run(_RETURN_SECONDS)
+    back = window.end('return', reach=reach)
+
     window = _Window(fleet, rest)
     reach = _end_some(fleet)
-    return [rest, routes, burst, cut, window.end('ends', reach=reach)]
+    return [rest, routes, burst, cut, back, window.end('ends', reach=reach)]
+
+
+def _wait_for_era(fleet: _relay_fleet.Fleet) -> float | None:
+    """Wait until all instances know the store's era.
+
+    :returns: seconds until then; None if one does not in the end.
+    """
+    begun = fleet.now
+    for _ in range(_MOST_LOOKS):
+        fleet.run(_LOOK_SECONDS)
+        if all(
+            core.get_position(topic).era == fleet.store.era
+            for core in fleet.cores.values()
+            for topic in fleet.settings.topics
+        ):
+            return round(fleet.now - begun, 4)
+    return None
 
 
 def _end_some(fleet: _relay_fleet.Fleet) -> float | None:
--- a/skylarkfold/report/_token_lines.py
+++ b/skylarkfold/report/_token_lines.py
@@ -95,6 +95,28 @@
             'upstreams',
             budget.propagation_seconds,
         ),
+        (
+            'all that the store has after its return from an older copy '
+            'known to the last instance',
+            's',
+            'reach_seconds',
+            'return',
+            budget.propagation_seconds,
+        ),
+        (
+            'traffic for 5 s after such a return, busiest',
+            'bytes/s',
+            'bytes_worst_second',
+            'return',
+            traffic,
+        ),
+        (
+            'calls to the store, whole fleet, for 5 s after such a return',
+            'calls/s',
+            'calls_per_second',
+            'return',
+            budget.platform_reads_per_second,
+        ),
         (
             'an end without a word known to the whole zone',
             's',
--- a/skylarkfold/tests/measure/test_relay.py
+++ b/skylarkfold/tests/measure/test_relay.py
@@ -17,7 +17,7 @@
 
     def test_all_scenarios_are_measured(self):
         self.assertEqual(
-            {'rest', 'routes', 'upstreams', 'ends', 'zone-cut'},
+            {'rest', 'routes', 'upstreams', 'ends', 'return', 'zone-cut'},
             set(self.results),
         )
 
@@ -31,6 +31,13 @@
         # Three watchers with two topics, one call in 3 s each.
         self.assertLess(self.results['rest'].calls_per_second, 3.0)
 
+    def test_all_know_the_era_after_a_return_by_few_calls(self):
+        result = self.results['return']
+        # The watches that hang tell of it, 3 s later at the latest.
+        self.assertLess(result.reach_seconds, 3.5)
+        # Three watchers list two topics, and go on watching.
+        self.assertLess(result.calls_per_second, 6.0)
+
     def test_the_capacity_page_has_its_figures(self):
         size = _size.Size(nodes=7)
         rows = [
