Distribution: what is written after a return counts at once

Cause: settings and claims that the store's copy has in an older form are kept back, by the store's count of their versions. That count goes back as well: what an operator wrote after the return got a lower number than the form that was lost, and was kept back for 15 s, beyond the 13 s of a change. Change: an object that was written since this instance is in the new era is never kept back. Whether one of the first listing in an era is of the copy can't be told; it is judged by its version as before. Ruled out: comparing values, since an operator may go back to an older one.

Beside it: a blank line among imports of relay/_exchange.

--- a/skylarkfold/distribution/_core.py
+++ b/skylarkfold/distribution/_core.py
@@ -20,6 +20,7 @@
 from skylarkfold import member
 from skylarkfold import membership as membership_package
 from skylarkfold import metric
+from skylarkfold import revision as revisions
 from skylarkfold import shelf as shelf_module
 from skylarkfold import stored
 
@@ -250,7 +251,8 @@
             known = self._shelf.get(each.path)
             if not self._shelf.put(each, is_listed=is_listed):
                 continue
-            if self._retained.stands(now, known, each, is_absent):
+            is_fresh = self._is_fresh(each)
+            if self._retained.stands(now, known, each, is_absent, is_fresh):
                 effects.append(
                     effect.CountMetric(metric.DISTRIBUTION_RETAINED)
                 )
@@ -258,6 +260,13 @@
                 effects.append(effect.PublishObject(each))
         return effects
 
+    def _is_fresh(self, candidate: stored.StoredObject) -> bool:
+        """Tell whether an object was written since an era is known here."""
+        position = self._shelf.position
+        era = revisions.get_era(candidate.revision)
+        is_known_era = revisions.get_era(position) == era
+        return is_known_era and candidate.revision > position
+
     def _give_up(self) -> list[object]:
         """Publish what the store has had for long enough."""
         if self._confirmed is None:
--- a/skylarkfold/distribution/_retained.py
+++ b/skylarkfold/distribution/_retained.py
@@ -14,9 +14,10 @@
 class RetainedObjects:
     """Objects in a form of a former era that stand for the store's.
 
-    Of two forms the one of the higher version is the later one: an object's
-    versions only rise within an era, and what was lost is written again in
-    their order.
+    Of a known form and the copy's the one of the higher version is the later
+    one: the store counts an object's versions, and the copy is older. What
+    is written after its return counts at once: its versions are counted
+    from the copy's, so that they may be lower than those that were lost.
 
     :param settings: what is retained, and how long.
     """
@@ -33,6 +34,7 @@
         known: stored.StoredObject | None,
         candidate: stored.StoredObject,
         is_absent: bool,
+        is_fresh: bool,
     ) -> bool:
         """Tell whether a known form stands for what the store has.
 
@@ -41,6 +43,8 @@
         :param candidate: the store's.
         :param is_absent: whether the store only lacks the object: that it was
             deleted is another matter.
+        :param is_fresh: whether that became so after the store's return, for
+            certain.
         :returns: whether the store's form is to be kept back.
         """
         path = candidate.path
@@ -49,7 +53,8 @@
         held = self._forms.get(path)
         if held is None and known is not None and _is_former(known, candidate):
             held = (known, now + self._settings.retain_seconds)
-        if held is None or not _is_later(held[0], candidate, is_absent):
+        is_over = is_fresh or held is None
+        if is_over or not _is_later(held[0], candidate, is_absent):
             self._forms.pop(path, None)
             return False
         self._forms[path] = held
--- a/skylarkfold/relay/_exchange.py
+++ b/skylarkfold/relay/_exchange.py
@@ -9,7 +9,6 @@
 from skylarkfold.relay import _messages
 from skylarkfold.relay import _pace
 from skylarkfold.relay import _peer
-
 from skylarkfold.relay import _peers
 from skylarkfold.relay import _settings
 from skylarkfold.relay import _topic
--- a/skylarkfold/tests/distribution/test_core.py
+++ b/skylarkfold/tests/distribution/test_core.py
@@ -266,6 +266,19 @@
         published = self.list_all(core, 4.0, self.build(27, 2, 3))
         self.assertEqual([b'v3'], published)
 
+    def test_what_is_new_is_not_held_back_for_its_lower_number(self):
+        core = build_core()
+        self.list_all(core, 0.0, self.build(38, 1, 7))
+        refuse(core, 1.0)
+        self.assertEqual([], self.list_all(core, 2.0, self.build(26, 2, 4)))
+        (call,) = list_of(effect.CallPlatform, core.handle(3.0, event.Tick()))
+        revision = int(revisions.Revision(27, 2))
+        new = stored.StoredObject(self.PATH, 5, revision, b'new')
+        answer = stored.PlatformAnswer(OK, (new,), revision)
+        effects = core.handle(3.1, event.PlatformAnswered(call.call, answer))
+        (published,) = list_of(effect.PublishObject, effects)
+        self.assertEqual(b'new', published.stored.value)
+
     def test_settings_that_are_never_written_again_end(self):
         core = build_core(announce_seconds=100.0)
         self.list_all(core, 0.0, self.build(38, 1, 3))
