Teams: a command follows the store into a later era

Cause: an operator's command takes nothing older than what it has seen, by an object's version and the listing's revision. Where the store came back from an older copy while it ran, versions were lower than those it had seen, so that it took nothing until its tries were used up. The revisions held the era already; the versions don't, and that nothing stands there came without an era. Change: a session forgets what it has seen of former eras and takes nothing more of them; an answer that nothing is there tells its era too. Left: a conditional write whose expected version was given out again is not told apart by the store (design/returns).

--- a/skylarkfold/edge/_platform.py
+++ b/skylarkfold/edge/_platform.py
@@ -229,7 +229,7 @@
             status = _judge_status(response.status)
             era = self._read_era(response)
         if status is not stored.PlatformStatus.OK or not body:
-            return stored.PlatformAnswer(status)
+            return stored.PlatformAnswer(status, revision=_place(0, era))
         return _stamp(_convert_object(body), era)
 
     def _read_era(self, response: aiohttp.ClientResponse) -> int:
@@ -246,7 +246,7 @@
             status = _judge_status(response.status)
             era = self._read_era(response)
         if status is not stored.PlatformStatus.OK:
-            return stored.PlatformAnswer(status)
+            return stored.PlatformAnswer(status, revision=_place(0, era))
         return _stamp(convert(body), era)
 
     def _quote(self, path: str) -> str:
--- a/skylarkfold/teams/_session.py
+++ b/skylarkfold/teams/_session.py
@@ -14,6 +14,7 @@
 from typing import TypeVar
 
 from skylarkfold import errors
+from skylarkfold import revision as revisions
 from skylarkfold import store
 from skylarkfold import stored
 
@@ -90,7 +91,8 @@
 class Session:
     """The calls of one command and what it has seen already.
 
-    Nothing older than what it has seen is taken from the platform.
+    Nothing older than what it has seen is taken from the platform. Once the
+    store has come back from an older copy, its word counts from there.
 
     :param write_id: the identity of the command's write, unique among all
         writes; the jitter comes from it.
@@ -105,6 +107,7 @@
         self._generator = random.Random(write_id)
         self._versions: dict[str, int] = {}
         self._revision = 0
+        self._era = 0
 
     def note_version(self, path: str, version: int) -> None:
         """Note that a version exists; older ones are not taken any more.
@@ -139,7 +142,7 @@
             answer = yield stored.ReadObject(path)
             if answer.status in (_Status.OK, _Status.NOT_FOUND):
                 found = _find_object(path, answer)
-                if self._take_version(path, found):
+                if self._follow(answer) and self._take_version(path, found):
                     return found
             yield self.pause(number)
         raise errors.PlatformError(f'{path} could not be read')
@@ -191,6 +194,8 @@
         answer = yield stored.ReadObject(write.path)
         if answer.status not in (_Status.OK, _Status.NOT_FOUND):
             return None
+        if not self._follow(answer):
+            return None
         current = _find_object(write.path, answer)
         finding = store.judge_read(write, current, was_refused)
         if finding not in _OUTCOMES:
@@ -198,6 +203,20 @@
         self._take_version(write.path, current)
         return Settled(_OUTCOMES[finding], current)
 
+    def _follow(self, answer: stored.PlatformAnswer) -> bool:
+        """Follow the store into a later era, in which it counts anew.
+
+        :param answer: its answer.
+        :returns: whether that is not of an era that has ended.
+        """
+        told = (answer.revision, *(each.revision for each in answer.objects))
+        era = revisions.get_era(max(told))
+        if era > self._era:
+            self._era = era
+            self._versions.clear()
+            self._revision = 0
+        return era == self._era
+
     def _take_version(
         self, path: str, found: stored.StoredObject | None
     ) -> bool:
@@ -208,7 +227,7 @@
         return True
 
     def _take_list(self, prefix: str, answer: stored.PlatformAnswer) -> bool:
-        if answer.revision < self._revision:
+        if not self._follow(answer) or answer.revision < self._revision:
             return False
         listed = {each.path: each for each in answer.objects}
         for path in list(self._versions):
--- a/skylarkfold/tests/edge/test_platform.py
+++ b/skylarkfold/tests/edge/test_platform.py
@@ -95,6 +95,17 @@
         self.assertEqual(place(4, era=2), after.revision)
         self.assertEqual(place(4, era=2), after.objects[0].revision)
 
+    def test_that_nothing_is_there_is_of_an_era_too(self):
+        async def check():
+            async with open_client() as (platform, client):
+                saved = platform.store.copy()
+                platform.store = platform.store.restore(saved)
+                return await client.call(stored.ReadObject('/none'), 5.0)
+
+        answer = fixture.run(check())
+        self.assertEqual(stored.PlatformStatus.NOT_FOUND, answer.status)
+        self.assertEqual(place(0, era=2), answer.revision)
+
     def test_an_answer_without_an_era_is_of_the_last_one(self):
         async def check():
             async with open_client() as (platform, client):
