--- a/skylarkfold/soak/__main__.py
+++ b/skylarkfold/soak/__main__.py
@@ -53,6 +53,7 @@
     for seed in chosen:
         with tempfile.TemporaryDirectory() as scratch:
             folder = pathlib.Path(keep or scratch)
+            folder.mkdir(parents=True, exist_ok=True)
             result = soak.run_seed(
                 seed,
                 folder,
--- a/skylarkfold/tests/forwarder/test_precedence.py
+++ b/skylarkfold/tests/forwarder/test_precedence.py
@@ -5,9 +5,9 @@
 from skylarkfold import affinity
 from skylarkfold.forwarder import _own
 from skylarkfold.forwarder import _precedence
-from skylarkfold import machine
 from skylarkfold.platform import _adapter
 from skylarkfold.tests import items
+from skylarkfold.tests import machines
 from skylarkfold.tests.platform import test_foreign
 from skylarkfold.tests.platform import test_objects
 
@@ -18,20 +18,8 @@
 class PrecedenceTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        settings = machine.MachineSettings(
-            'n',
-            'z',
-            ('127.0.0.1', 1),
-            ('127.0.0.1', 2),
-            ('127.0.0.1', 3),
-            (),
-            ('127.0.0.1', 4),
-            1.0,
-            100.0,
-            6.0,
-            60.0,
-            change_seconds=5.0,
-            disturbed_seconds=15.0,
+        settings = machines.build_settings(
+            change_seconds=5.0, disturbed_seconds=15.0
         )
         self.own = _own.OwnSettings()
         _own.take_machine(self.own, settings)
--- a/skylarkfold/tests/platform/test_return.py
+++ b/skylarkfold/tests/platform/test_return.py
@@ -10,11 +10,11 @@
 from skylarkfold.forwarder import _knowledge
 from skylarkfold.forwarder import _own
 from skylarkfold.forwarder import _precedence
-from skylarkfold import machine
 from skylarkfold.measure import _relay_fleet as fleet_module
 from skylarkfold.platform import _adapter
 from skylarkfold import relay
 from skylarkfold.tests.affinity import samples
+from skylarkfold.tests import machines
 from skylarkfold.tests.platform import test_foreign
 
 CONFIG = 'config'
@@ -29,18 +29,9 @@
 
 
 def build_settings(name='n', zone=samples.ZONE):
-    return machine.MachineSettings(
+    return machines.build_settings(
         name,
         zone,
-        ('127.0.0.1', 1),
-        ('127.0.0.1', 2),
-        ('127.0.0.1', 3),
-        (),
-        ('127.0.0.1', 4),
-        1.0,
-        100.0,
-        6.0,
-        60.0,
         zones=(samples.ZONE, samples.OTHER_ZONE),
         evacuation_seconds=5.0,
     )
