Health, own room: an instance whose link is full ends nobody's flow

Cause, from the lines of all instances: uploads filled the link, so that first packets, requests, probes and their controls waited or got lost at random. Upstreams of all zones were doubted within a tenth of a second; two silent probes and one control that happened to get through were a verdict. A probe sent as the control of another upstream counted as a second failure of its own (two failures within 165 ms, a time-out is 100). Each doubt sent a beacon to all neighbours (634 in 10 s), each first packet unanswered for 40 ms up to two copies more, which filled the link further.

Change: `room` knows the link's share in use (rate from the settings) and the share of exchanges with living upstreams that get lost here. A verdict needs as many silent probes as losses explain once in ten thousand, four where upstreams of other zones are in doubt as well, none does while the link is full. Then there are no questions, probes or copies either. Probes and controls are told apart; what a moment brings goes to peers in one beacon.

--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -26,6 +26,7 @@
 from skylarkfold.affinity import _upstream
 from skylarkfold.affinity import _warm_up
 from skylarkfold.affinity import _words
+from skylarkfold import room as rooms
 
 Reason = _effect.Reason
 
@@ -34,16 +35,22 @@
     """Places new flows, forwards known ones, finds what has failed.
 
     What peers say and are told goes through methods of
-    :class:`._words.PeerWords`, which stand here under their names.
+    :class:`._words.PeerWords`, the ends of probes through one of
+    :class:`._suspects.Suspects`; they stand here under their names.
 
     :param zone: this instance's availability zone.
     :param settings: the limits.
+    :param room: the instance's own; None for one that nothing is told of.
     """
 
     def __init__(
-        self, zone: str, settings: _settings.AffinitySettings
+        self,
+        zone: str,
+        settings: _settings.AffinitySettings,
+        room: rooms.InstanceRoom | None = None,
     ) -> None:
         self._zone = zone
+        self.room = room or rooms.InstanceRoom()
         self._settings = settings
         self.tally = _tally.Tally()
         self._routes = _route.EMPTY
@@ -52,7 +59,12 @@
         self._ending = _ending.Ending(settings, self._flows, self.tally)
         self._admission = _admission.Admission(settings)
         self._suspects = _suspects.Suspects(
-            zone, settings, self._directory, self._ending, self.tally
+            zone,
+            settings,
+            self._directory,
+            self._ending,
+            self.tally,
+            self.room,
         )
         self._health = _health.HealthWatch(
             settings, self._suspects, self._admission, self.tally
@@ -69,6 +81,7 @@
             self._limit,
             self._refusals,
             self.tally,
+            self.room,
         )
         self._held = _held.HeldPackets()
         self._presence = _presence.Presence(
@@ -87,6 +100,7 @@
         self.take_heard = words.take_heard
         self.list_heard = words.list_heard
         self.take_lost = words.take_lost
+        self.take_probe = self._suspects.take_probe
         self.note_present = self._presence.note_present
         self._confirmed_at = float('-inf')
         self._next_active = float('-inf')
@@ -183,24 +197,6 @@
             return self._take_removed(now, packet, flow)
         return self._carry(now, packet, flow)
 
-    def take_probe(
-        self,
-        now: float,
-        name: str,
-        outcome: str,
-        incarnation: int | None = None,
-    ) -> list[object]:
-        """Take the end of a probe.
-
-        :param now: the time in seconds.
-        :param name: the upstream's name.
-        :param outcome: one of :class:`ProbeOutcome`.
-        :param incarnation: which start of it was probed; None for the one
-            that is known now.
-        :returns: effects.
-        """
-        return self._suspects.take_probe(now, name, outcome, incarnation)
-
     def tick(self, now: float) -> list[object]:
         """Do what is due.
 
@@ -316,7 +312,7 @@
         flow.first = b''
         # Its upstream's numbers begin anywhere.
         flow.acknowledged = packet.acknowledged
-        self._health.note_heard(now, flow.standing)
+        self._health.note_opened(now, flow)
 
     def _carry(
         self, now: float, packet: _packet.Packet, flow: _flow.Flow
--- a/skylarkfold/affinity/_effect.py
+++ b/skylarkfold/affinity/_effect.py
@@ -99,15 +99,23 @@
     """Find out whether an upstream takes connections.
 
     The end comes back through ``AffinityCore.take_probe``.
+
+    :param upstream: which one.
+    :param timeout_seconds: when it has failed.
+    :param is_control: whether it is sent beside the probe of another one.
     """
 
-    __slots__ = ('timeout_seconds', 'upstream')
+    __slots__ = ('is_control', 'timeout_seconds', 'upstream')
 
     def __init__(
-        self, upstream: _upstream.Upstream, timeout_seconds: float
+        self,
+        upstream: _upstream.Upstream,
+        timeout_seconds: float,
+        is_control: bool = False,
     ) -> None:
         self.upstream = upstream
         self.timeout_seconds = timeout_seconds
+        self.is_control = is_control
 
 
 class Record:
--- a/skylarkfold/affinity/_health.py
+++ b/skylarkfold/affinity/_health.py
@@ -67,6 +67,18 @@
         standing.heard_at = now
         standing.avoided_until = _NEVER
 
+    def note_opened(self, now: float, flow: _flow.Flow) -> None:
+        """Note that a caller has answered a flow's upstream.
+
+        :param now: the time.
+        :param flow: the flow.
+        """
+        self.note_heard(now, flow.standing)
+        # Of several that had the first packet, either may have answered.
+        if len(flow.tried) == 1:
+            evidence = self._suspects.evidence
+            evidence.note_opened(now, flow.standing, flow.placed_at)
+
     def take_packet(
         self, now: float, flow: _flow.Flow, packet: _packet.Packet
     ) -> None:
@@ -104,6 +116,7 @@
             return []
         reason = _effect.Reason.NOT_OPENED
         doubt = _record_doubt(now, flow, flow.placed_at, reason)
+        self._suspects.evidence.note_unopened(standing, flow.placed_at)
         return [doubt, *self._suspects.doubt(now, standing, flow.placed_at)]
 
     def take_lapse(
--- a/skylarkfold/affinity/_opening.py
+++ b/skylarkfold/affinity/_opening.py
@@ -16,6 +16,7 @@
 from skylarkfold.affinity import _standing
 from skylarkfold.affinity import _tally
 from skylarkfold.affinity import _warm_up
+from skylarkfold import room as rooms
 
 Reason = _effect.Reason
 
@@ -30,6 +31,7 @@
     :param limit: of first packets to upstreams that warm up.
     :param refusals: refuses what no upstream may get.
     :param tally: where flows are counted.
+    :param room: this instance's own.
     """
 
     __slots__ = (
@@ -37,6 +39,7 @@
         '_health',
         '_limit',
         '_refusals',
+        '_room',
         '_settings',
         '_tally',
         '_waiting',
@@ -52,6 +55,7 @@
         limit: _warm_up.WarmUpLimit,
         refusals: _refusal.Refusals,
         tally: _tally.Tally,
+        room: rooms.InstanceRoom,
     ) -> None:
         self._zone = zone
         self._settings = settings
@@ -60,6 +64,7 @@
         self._limit = limit
         self._refusals = refusals
         self._tally = tally
+        self._room = room
         self._waiting: collections.deque[tuple[float, _flow.Flow]] = (
             collections.deque()
         )
@@ -186,6 +191,10 @@
             _, flow = self._waiting.popleft()
             if flow.is_open or flow.is_closed:
                 continue
+            if self._room.is_short(now):
+                # A copy to another upstream would fill a full link still
+                # more; the caller's own one may go there.
+                continue
             effects += self._health.doubt_opening(now, flow)
             if len(flow.tried) >= self._settings.open_tries:
                 _flow.end_work(flow, now)
--- a/skylarkfold/affinity/_settings.py
+++ b/skylarkfold/affinity/_settings.py
@@ -27,6 +27,11 @@
     :param probe_tries: probes in a row that must fail before an upstream
         is taken for out of reach: two, so that one lost packet is no
         verdict (0.06% of pairs at 2.5% loss).
+    :param wide_suspects: with so many upstreams of other zones in doubt of
+        late, the fault may be on this side.
+    :param wide_tries: probes in a row that must fail then. Of a link that
+        loses three in ten, four and their controls tell wrong twice in a
+        thousand, two and one control six times in a hundred.
     :param probe_pause_seconds: the pause between two probes of one
         upstream that answered or is out of reach.
     :param zone_failures: upstreams of another zone that must be out of
@@ -127,6 +132,8 @@
         'verdict_seconds',
         'warm_up_factor',
         'warm_up_slack',
+        'wide_suspects',
+        'wide_tries',
         'zone_failures',
     )
 
@@ -141,6 +148,8 @@
         ask_seconds: float = 0.02,
         probe_timeout_seconds: float = 0.1,
         probe_tries: int = 2,
+        wide_suspects: int = 2,
+        wide_tries: int = 4,
         probe_pause_seconds: float = 0.4,
         zone_failures: int = 2,
         suspect_limit: int = 32,
@@ -175,6 +184,8 @@
         self.ask_seconds = ask_seconds
         self.probe_timeout_seconds = probe_timeout_seconds
         self.probe_tries = probe_tries
+        self.wide_suspects = wide_suspects
+        self.wide_tries = wide_tries
         self.probe_pause_seconds = probe_pause_seconds
         self.zone_failures = zone_failures
         self.suspect_limit = suspect_limit
--- a/skylarkfold/affinity/_suspects.py
+++ b/skylarkfold/affinity/_suspects.py
@@ -3,7 +3,8 @@
 A silence is a doubt, no more: the peers of this zone are asked whether they
 have heard the upstream since. If none has, it is probed. Probes that fail
 are a verdict only if one of another upstream, sent at the same time, is
-answered: else the fault may be on this side.
+answered, and if so many fail in a row as losses on this side seldom explain:
+an instance whose own link is full hears nobody, and ends nobody's flow.
 """
 
 from __future__ import annotations
@@ -11,9 +12,11 @@
 from skylarkfold.affinity import _directory
 from skylarkfold.affinity import _effect
 from skylarkfold.affinity import _ending
+from skylarkfold.affinity import _evidence
 from skylarkfold.affinity import _settings
 from skylarkfold.affinity import _standing
 from skylarkfold.affinity import _tally
+from skylarkfold import room as rooms
 
 Health = _standing.Health
 Outcome = _effect.ProbeOutcome
@@ -27,6 +30,8 @@
     :param directory: all upstreams.
     :param ending: resets the flows of upstreams that are gone.
     :param tally: where durations are counted.
+    :param room: this instance's own, which a silence may be due to.
+    :ivar evidence: what silences prove.
     """
 
     __slots__ = (
@@ -37,6 +42,7 @@
         '_settings',
         '_suspects',
         '_zone',
+        'evidence',
     )
 
     def __init__(
@@ -46,11 +52,13 @@
         directory: _directory.Directory,
         ending: _ending.Ending,
         tally: _tally.Tally,
+        room: rooms.InstanceRoom,
     ) -> None:
         self._zone = zone
         self._settings = settings
         self._directory = directory
         self._ending = ending
+        self.evidence = _evidence.Evidence(settings, room)
         self._histograms = tally.histograms
         self._suspects: dict[str, _standing.Standing] = {}
         # Probes of upstreams that serve as a control, by name, with those
@@ -70,10 +78,11 @@
         is_due = now >= standing.probe_due
         if standing.is_replaced or standing.health != Health.GOOD:
             return []
-        if not is_due:
+        if not is_due or not self._may_ask(now):
             return []
         standing.health = Health.DOUBTED
         standing.silent_since = silent_since
+        self.evidence.note_doubt(now, standing)
         standing.probe_due = now + self._settings.ask_seconds
         self._suspects[standing.upstream.name] = standing
         return [_effect.AskPeers(standing.upstream)]
@@ -107,6 +116,8 @@
         is_known = standing.health != Health.GOOD or standing.is_replaced
         if is_known or standing.last_heard >= recent:
             return []
+        if not self._may_ask(now):
+            return []
         if not self._is_worth_probing(standing):
             self._avoid(standing, now)
             return []
@@ -116,7 +127,12 @@
         return self._probe(now, standing)
 
     def take_probe(
-        self, now: float, name: str, outcome: str, incarnation: int | None
+        self,
+        now: float,
+        name: str,
+        outcome: str,
+        incarnation: int | None = None,
+        is_control: bool | None = None,
     ) -> list[object]:
         """Take the end of a probe.
 
@@ -125,6 +141,8 @@
         :param outcome: how it ended.
         :param incarnation: which start of it was probed; None for the one
             that is known now.
+        :param is_control: whether it was sent beside the probe of another
+            one; None where it may have been either.
         :returns: effects.
         """
         standing = self._directory.get(name)
@@ -133,17 +151,23 @@
             standing.upstream.incarnation,
         ):
             return self._take_control(now, name)
-        if outcome == Outcome.ALIVE:
-            standing.alive_at = now
-        effects = self._take_control(now, name)
-        if not standing.is_probing:
+        self.evidence.note_probe(now, standing, outcome)
+        effects = []
+        if is_control is not False:
+            effects = self._take_control(now, name)
+        # Two probes at once, one of them as a control, are one try.
+        if is_control or not standing.is_probing:
             return effects
         standing.is_probing = False
         if outcome == Outcome.ALIVE or self._is_answering(standing):
             return effects + self._take_alive(now, standing)
+        tries = self.evidence.count_tries(now, standing)
+        if not tries and standing.health == Health.DOUBTED:
+            self._dismiss(now, standing)
+            return effects
         standing.failures += 1
         standing.failed_at = now
-        if standing.failures < self._settings.probe_tries:
+        if standing.failures < tries:
             return effects + self._probe_with_control(now, standing)
         standing.probe_due = now + self._settings.probe_pause_seconds
         if standing.control in self._controls:
@@ -171,6 +195,7 @@
         :param now: the time.
         :returns: effects.
         """
+        self.evidence.explain(now)
         effects: list[object] = []
         for name, standing in list(self._suspects.items()):
             if not self._is_of_interest(standing):
@@ -237,6 +262,9 @@
                 self._avoid(each, since)
         return effects
 
+    def _may_ask(self, now: float) -> bool:
+        return self.evidence.may_ask(now, len(self._suspects))
+
     def _is_worth_probing(self, standing: _standing.Standing) -> bool:
         has_room = len(self._suspects) < self._settings.suspect_limit
         return has_room or standing.flows > 0
@@ -268,7 +296,11 @@
     def _probe_again(
         self, now: float, standing: _standing.Standing
     ) -> list[object]:
-        if standing.health == Health.OUT_OF_REACH and not standing.is_proven:
+        is_open = (
+            standing.health == Health.OUT_OF_REACH and not standing.is_proven
+        )
+        # While something gets lost here, controls show when it ends.
+        if is_open or self.evidence.is_lossy(now):
             return self._probe_with_control(now, standing)
         return self._probe(now, standing)
 
@@ -292,7 +324,7 @@
             standing.control = control.upstream.name
             self._controls.setdefault(standing.control, []).append(standing)
             timeout = self._settings.probe_timeout_seconds
-            effects.append(_effect.Probe(control.upstream, timeout))
+            effects.append(_effect.Probe(control.upstream, timeout, True))
         return effects
 
     def _take_alive(
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -11,12 +11,14 @@
 from skylarkfold.forwarder import _departure
 from skylarkfold.forwarder import _gauges
 from skylarkfold.forwarder import _knowledge
+from skylarkfold.forwarder import _link
 from skylarkfold.forwarder import _metrics
 from skylarkfold.forwarder import _own
 from skylarkfold.forwarder import _peers
 from skylarkfold.forwarder import _platform
 from skylarkfold.forwarder import _precedence
 from skylarkfold.forwarder import _probe
+from skylarkfold.forwarder import _questions
 from skylarkfold.forwarder import _reporter
 from skylarkfold.forwarder import _rhythm
 from skylarkfold.forwarder import _store_link
@@ -25,6 +27,7 @@
 from skylarkfold import reactor
 from skylarkfold import relay
 from skylarkfold import revision as revisions
+from skylarkfold import room as rooms
 
 # Packets read before timers and other sockets have their turn.
 _BATCH_PACKETS = 64
@@ -73,7 +76,12 @@
         self._reporter = _reporter.Reporter(
             settings.name, own.log, platform.list_counters
         )
-        self._affinity = affinity.AffinityCore(settings.zone, own.affinity)
+        room = rooms.InstanceRoom(own.room, settings.link_bytes_per_second)
+        self._link = _link.LinkCount(room)
+        self._affinity = affinity.AffinityCore(
+            settings.zone, own.affinity, room
+        )
+        self._questions = _questions.Questions()
         self._relay = relay.RelayCore(
             settings.name,
             settings.zone,
@@ -197,15 +205,21 @@
                 data = receive(_PACKET_BYTES)
             except BlockingIOError:
                 break
+            self._link.count_received(len(data))
             packet = decode(data)
             if packet is None:
                 self.count(_metrics.PACKET_MALFORMED)
                 continue
             self._perform(self._affinity.take_packet(now, packet))
-        self._arrange_tick(now)
-
-    def _arrange_tick(self, now: float) -> None:
-        """See to it that the next tick comes when something is due."""
+        self._link.note(now)
+        self._follow_up(now)
+
+    def _follow_up(self, now: float) -> None:
+        """Ask peers, and look again when something is due."""
+        if not self._questions.is_empty:
+            doubts, lost = self._questions.take()
+            announcer = self._relay.announcer
+            self._perform(announcer.tell_zone(now, doubts, lost))
         pause = _rhythm.compute_pause(
             now, self._affinity.find_due(now), self._relay.is_ready
         )
@@ -230,6 +244,7 @@
         self._send(data, caller)
 
     def _send(self, data: bytes, address: tuple[str, int]) -> None:
+        self._link.count_sent(len(data))
         try:
             self._packets.sendto(data, address)
         except OSError as error:
@@ -239,21 +254,15 @@
 
     def _ask_peers(self, wanted: affinity.AskPeers) -> None:
         self.count(_metrics.PEERS_ASKED)
-        incarnations = (wanted.upstream.incarnation,)
-        now = self._loop.now()
-        announcer = self._relay.announcer
-        self._perform(announcer.tell_zone(now, doubts=incarnations))
+        self._questions.doubt(wanted.upstream.incarnation)
 
     def _tell_peers(self, wanted: affinity.TellPeers) -> None:
-        incarnations = (wanted.upstream.incarnation,)
-        now = self._loop.now()
-        announcer = self._relay.announcer
-        self._perform(announcer.tell_zone(now, lost=incarnations))
+        self._questions.lose(wanted.upstream.incarnation)
 
     def _take_lost(self, wanted: relay.TakeLost) -> None:
         now = self._loop.now()
         self._perform(self._affinity.take_lost(now, wanted.incarnations))
-        self._arrange_tick(now)
+        self._follow_up(now)
 
     def _tell_heard(self, wanted: relay.TellHeard) -> None:
         now = self._loop.now()
@@ -267,15 +276,17 @@
     def _probe(self, wanted: affinity.Probe) -> None:
         _probe.probe(self._loop, wanted, self._take_probe)
 
-    def _take_probe(self, upstream: affinity.Upstream, outcome: str) -> None:
+    def _take_probe(
+        self, upstream: affinity.Upstream, outcome: str, is_control: bool
+    ) -> None:
         self.count(f'{_metrics.PROBE}.{outcome}')
         now = self._loop.now()
         self._perform(
             self._affinity.take_probe(
-                now, upstream.name, outcome, upstream.incarnation
+                now, upstream.name, outcome, upstream.incarnation, is_control
             )
         )
-        self._arrange_tick(now)
+        self._follow_up(now)
 
     def take_beacon(self, host: str, beacon: relay.Beacon) -> None:
         """Take a peer's beacon.
@@ -335,12 +346,13 @@
         now = self._loop.now()
         lag = self._reporter.histograms[_metrics.LAG_SECONDS]
         lag.observe(self._loop.lag)
+        self._link.note(now)
         self._perform(self._affinity.tick(now))
         self._perform(self._relay.tick(now))
         self._store.note_age(now)
         if self._departure is not None:
             self._check_departure(now, self._departure)
-        self._arrange_tick(now)
+        self._follow_up(now)
 
     def _check_departure(
         self, now: float, departure: _departure.Departure
--- a/skylarkfold/forwarder/_gauges.py
+++ b/skylarkfold/forwarder/_gauges.py
@@ -32,6 +32,9 @@
         'upstreams_warming': float(directory.count_warming(now)),
         'flows': float(directory.count_flows()),
         'busy': float(directory.count_busy()),
+        'link_share': core.room.compute_link_share(now),
+        'loss_share': core.room.compute_loss_share(now),
+        'short': float(core.room.is_short(now)),
         'peers': float(len(relay_core.peers.list_neighbours())),
     }
     for topic in relay_core.topics:
--- a/skylarkfold/forwarder/_own.py
+++ b/skylarkfold/forwarder/_own.py
@@ -13,6 +13,7 @@
 from skylarkfold import files
 from skylarkfold import machine
 from skylarkfold import relay
+from skylarkfold import room as rooms
 
 _COMMENT = '//'
 _MOST_PORT = 65535
@@ -50,9 +51,10 @@
     :param log: how much is logged.
     :param affinity: limits of placement and health.
     :param relay: how the store's objects are followed.
+    :param room: when the instance's own link is taken to be short of room.
     """
 
-    __slots__ = ('affinity', 'log', 'metrics_port', 'relay')
+    __slots__ = ('affinity', 'log', 'metrics_port', 'relay', 'room')
 
     def __init__(
         self,
@@ -60,16 +62,23 @@
         log: LogSettings | None = None,
         affinity: affinity.AffinitySettings | None = None,
         relay: relay.RelaySettings | None = None,
+        room: rooms.RoomSettings | None = None,
     ) -> None:
         self.metrics_port = metrics_port
         self.log = log or LogSettings()
         self.affinity = affinity or _AFFINITY()
         self.relay = relay or _RELAY()
+        self.room = room or rooms.RoomSettings()
 
 
 _AFFINITY = affinity.AffinitySettings
 _RELAY = relay.RelaySettings
-_SECTIONS = {'log': LogSettings, 'affinity': _AFFINITY, 'relay': _RELAY}
+_SECTIONS = {
+    'log': LogSettings,
+    'affinity': _AFFINITY,
+    'relay': _RELAY,
+    'room': rooms.RoomSettings,
+}
 
 
 def read_own_settings(path: str) -> OwnSettings:
@@ -101,8 +110,8 @@
     limits.limits_warm_up = settings.warm_up_slack is not None
     limits.warm_up_factor = settings.warm_up_factor
     limits.warm_up_slack = settings.warm_up_slack or 0.0
-    link_bytes_per_second = settings.link_mbps * 1e6 / 8
-    own.relay.serve_bytes_per_second = _SERVE_SHARE * link_bytes_per_second
+    link = settings.link_bytes_per_second
+    own.relay.serve_bytes_per_second = _SERVE_SHARE * link
     # By then a change that is written again is in force everywhere.
     own.relay.lasting_seconds = (
         settings.change_seconds + settings.disturbed_seconds
--- a/skylarkfold/forwarder/_probe.py
+++ b/skylarkfold/forwarder/_probe.py
@@ -13,7 +13,7 @@
 def probe(
     loop: reactor.Loop,
     wanted: affinity.Probe,
-    finished: Callable[[affinity.Upstream, str], object],
+    finished: Callable[[affinity.Upstream, str, bool], object],
 ) -> None:
     """Open a connection and close it again.
 
@@ -22,21 +22,23 @@
 
     :param loop: the event loop.
     :param wanted: what to probe.
-    :param finished: takes the upstream and the outcome, once.
+    :param finished: takes the upstream, the outcome and whether it was a
+        control, once.
     """
     _Attempt(loop, wanted, finished)
 
 
 class _Attempt:
-    __slots__ = ('_finished', '_stream', '_timer', '_upstream')
+    __slots__ = ('_finished', '_is_control', '_stream', '_timer', '_upstream')
 
     def __init__(
         self,
         loop: reactor.Loop,
         wanted: affinity.Probe,
-        finished: Callable[[affinity.Upstream, str], object],
+        finished: Callable[[affinity.Upstream, str, bool], object],
     ) -> None:
         self._finished = finished
+        self._is_control = wanted.is_control
         self._upstream = wanted.upstream
         self._stream = reactor.connect(loop, wanted.upstream.address)
         self._stream.on_open = self._succeed
@@ -58,4 +60,4 @@
             return
         self._timer.cancel()
         self._stream.close()
-        finished(self._upstream, outcome)
+        finished(self._upstream, outcome, self._is_control)
--- a/skylarkfold/machine.py
+++ b/skylarkfold/machine.py
@@ -24,6 +24,7 @@
 _CORES_STEP = 0.1
 _LINK_STEP_MBPS = 10.0
 _MOST_CAPACITY = 20
+_BYTES_PER_MBIT = 1e6 / 8
 
 
 class MachineSettings:
@@ -123,6 +124,11 @@
         links = self.link_mbps / _LINK_STEP_MBPS
         return int(min(tenths, links, _MOST_CAPACITY))
 
+    @property
+    def link_bytes_per_second(self) -> float:
+        """The bandwidth of its link, in bytes a second."""
+        return self.link_mbps * _BYTES_PER_MBIT
+
     def list_addresses(self) -> tuple[tuple[str, int], ...]:
         """List what sockets are bound to or opened towards."""
         return (
