--- a/skylarkfold/flows/_core.py
+++ b/skylarkfold/flows/_core.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from collections.abc import Iterator
 import functools
 
@@ -11,11 +10,11 @@
 from skylarkfold import errors
 from skylarkfold import event
 from skylarkfold.flows import _catalog
+from skylarkfold.flows import _datagrams
 from skylarkfold.flows import _hold
 from skylarkfold.flows import _members
 from skylarkfold.flows import _messages
 from skylarkfold.flows import _outbox
-from skylarkfold.flows import _packet
 from skylarkfold.flows import _proposer
 from skylarkfold.flows import _ranking
 from skylarkfold.flows import _router
@@ -54,9 +53,12 @@
         self._next_round = 0.0
         self._members = _members.MemberView(instance, settings)
         self._outbox = _outbox.Outbox(settings, self._members)
-        self._held = _hold.HeldPackets(settings)
+        held = _hold.HeldPackets(settings)
         self._router = _router.Router(
-            instance, settings, self._members, self._outbox.pins, self._held
+            instance, settings, self._members, self._outbox.pins, held
+        )
+        self._datagrams = _datagrams.Datagrams(
+            self._catalog, self._router, held, self._outbox.pins
         )
         self._proposer = _proposer.Proposer(self._members, settings)
         self._upkeep = _upkeep.Upkeep(
@@ -76,7 +78,7 @@
         :returns: effects of :mod:`skylarkfold.effect`, in order.
         """
         if isinstance(occurred, event.DatagramReceived):
-            return self._receive(now, occurred)
+            return self._datagrams.receive(now, occurred)
         return _find_handler(type(occurred))(self, occurred, now)
 
     def route(
@@ -95,33 +97,6 @@
             return None
         return state.find_known(caller)[0]
 
-    def _receive(
-        self, now: float, received: event.DatagramReceived
-    ) -> list[object]:
-        state = self._catalog.find(received.address)
-        if state is None:
-            return _drop_unclaimed(received)
-        if not received.is_first:
-            upstream, reason = state.find_known(received.caller)
-            if upstream is not None:
-                return [
-                    effect.ForwardDatagram(
-                        state.service,
-                        upstream,
-                        received.caller,
-                        received.payload,
-                        reason,
-                    )
-                ]
-        packet = _packet.Packet(
-            service=state.name,
-            address=received.address,
-            caller=received.caller,
-            payload=received.payload,
-            is_first=received.is_first,
-        )
-        return self._route(now, state, packet)
-
     @functools.singledispatchmethod
     def _handle(self, occurred: object, now: float) -> list[object]:
         return []
@@ -173,7 +148,7 @@
             self._proposer.forget_service(name)
         for state in self._catalog.states.values():
             self._upkeep.find_own(state)
-        return self._release_held(now)
+        return self._datagrams.release(now)
 
     @_handle.register
     def _(self, occurred: event.ObjectChanged, now: float) -> list[object]:
@@ -202,7 +177,7 @@
 
     @_handle.register
     def _(self, occurred: event.Tick, now: float) -> list[object]:
-        effects = self._drop_expired(now)
+        effects = self._datagrams.expire(now)
         self._members.expire_consulting(now)
         if now >= self._next_round:
             self._next_round = now + _ROUND_SECONDS
@@ -239,12 +214,7 @@
     def _(
         self, message: _messages.Redirect, sender: str, now: float
     ) -> list[object]:
-        packet = _packet.read_redirect(message)
-        state = self._catalog.get(packet.service)
-        if state is None:
-            self._held.add(now, packet)
-            return [effect.CountMetric(metric.FLOWS_HELD)]
-        return self._route(now, state, packet)
+        return self._datagrams.take_redirect(now, message)
 
     @_take.register
     def _(
@@ -324,16 +294,6 @@
             effect.SendToPeer(peer, done) for peer in self._members.reachable
         ]
 
-    def _route(
-        self,
-        now: float,
-        state: _state.ServiceState,
-        packet: _packet.Packet,
-    ) -> list[object]:
-        effects = self._router.route(now, state, packet)
-        effects += self._outbox.pins.drain(now)
-        return effects
-
     def _follow_change(
         self, now: float, change: _members.RankingChange | None
     ) -> list[object]:
@@ -374,7 +334,7 @@
         )
         told = _messages.TableInForce(state.name, state.version)
         effects = self._tell_proposers(now, state.name, told)
-        return [decision, *effects, *self._release_held(now)]
+        return [decision, *effects, *self._datagrams.release(now)]
 
     def _tell_proposers(
         self, now: float, service_name: str, told: object
@@ -387,37 +347,8 @@
                 effects.append(effect.SendToPeer(peer, told))
         return effects
 
-    def _release_held(self, now: float) -> list[object]:
-        return self._route_all(now, self._held.release())
-
-    def _route_all(
-        self, now: float, packets: Iterable[_packet.Packet]
-    ) -> list[object]:
-        effects: list[object] = []
-        for packet in packets:
-            state = self._catalog.get(packet.service)
-            if state is not None:
-                effects += self._router.route(now, state, packet)
-            else:
-                self._held.add(now, packet)
-        return effects
-
-    def _drop_expired(self, now: float) -> list[object]:
-        expired = self._held.expire(now)
-        if not expired:
-            return []
-        return [effect.CountMetric(metric.FLOWS_DROPPED_HELD, len(expired))]
-
 
 # The descriptor builds a closure at each access, which costs as much as
 # the decision on a datagram.
 _find_handler = FlowCore.__dict__['_handle'].dispatcher.dispatch
 _find_taker = FlowCore.__dict__['_take'].dispatcher.dispatch
-
-
-def _drop_unclaimed(received: event.DatagramReceived) -> list[object]:
-    reason = effect.Reason.NO_SERVICE
-    return [
-        effect.DropDatagram(received.address, received.caller, reason),
-        effect.CountMetric(f'{metric.FLOWS_DROPPED}.{reason.value}'),
-    ]
--- a/skylarkfold/measure/_flow_fleet.py
+++ b/skylarkfold/measure/_flow_fleet.py
@@ -15,12 +15,13 @@
 
 from collections.abc import Iterable
 
-from skylarkfold import core as core_module
 from skylarkfold import effect
 from skylarkfold import endpoint
 from skylarkfold import event as event_module
 from skylarkfold import instance as instance_module
 from skylarkfold.measure import _flow_links
+from skylarkfold.measure import _flow_news
+from skylarkfold.measure import _flow_node
 from skylarkfold.measure import _flow_oracle
 from skylarkfold.measure import _flow_platform
 from skylarkfold.measure import _flow_rules
@@ -56,39 +57,6 @@
     platform_delay_seconds: float = 0.005
 
 
-class Node:
-    """One running instance.
-
-    :param own: its own entry as a member.
-    :param core: its core.
-    :param clock_offset: how far its clock is from the others'.
-    """
-
-    __slots__ = ('clock_offset', 'core', 'is_cut_off', 'is_leaving', 'view')
-
-    def __init__(
-        self,
-        own: member.Member,
-        core: core_module.Core,
-        clock_offset: float,
-    ) -> None:
-        self.core = core
-        self.view = _flow_views.View(own)
-        self.clock_offset = clock_offset
-        self.is_leaving = False
-        self.is_cut_off = False
-
-    @property
-    def name(self) -> str:
-        """The instance's name."""
-        return self.view.own
-
-    @property
-    def own(self) -> member.Member:
-        """The instance as it sees itself."""
-        return self.view.members[self.name]
-
-
 class Fleet:
     """The instances and all that lies between them.
 
@@ -108,14 +76,13 @@
         self.settings = settings
         self.schedule = _flow_schedule.Schedule()
         self.oracle = _flow_oracle.Oracle(services)
-        self.nodes: dict[str, Node] = {}
+        self.nodes: dict[str, _flow_node.Node] = {}
         self.metrics: collections.Counter[str] = collections.Counter()
         self.decisions: collections.Counter[str] = collections.Counter()
         self.published = _flow_views.Published()
         self._rule = rule
         self._serving: list[str] | None = None
         self._source = random.Random(seed)
-        self._incarnations: collections.Counter[str] = collections.Counter()
         self.links = _flow_links.Links(
             self.schedule,
             settings.links,
@@ -130,6 +97,9 @@
             self._publish_object,
             self._source,
         )
+        self._news = _flow_news.News(
+            self.nodes, self.links.cut, self._feed, self._later
+        )
         self.schedule.add(REVISION_REPORT_SECONDS, self._report_revisions)
         self.schedule.add(LOAD_REPORT_SECONDS, self._report_loads)
 
@@ -154,24 +124,17 @@
         :param name: its name, which may have been used before.
         :param zone: its availability zone.
         """
-        self._incarnations[name] += 1
-        own = member.Member(
-            name,
-            zone,
-            'sierra-norte',
-            endpoint.Endpoint(name, 7946),
-            self._incarnations[name],
-            member.MemberState.JOINING,
-        )
+        own = self._news.name_start(name, zone)
         settings = instance_module.InstanceSettings(
             name, zone, own.region, own.address
         )
         offset = self._source.uniform(0, 1000)
-        node = Node(own, self._rule.make_core(settings), offset)
+        node = _flow_node.Node(own, self._rule.make_core(settings), offset)
         self.nodes[name] = node
         self._feed(node, node.view.report())
-        self._welcome(node)
-        self._spread(own)
+        self._news.tell_all(node)
+        self._catch_up_later(node)
+        self._news.spread(own)
         tick = functools.partial(self._tick, node)
         self.schedule.add(self._source.uniform(0, TICK_SECONDS), tick)
 
@@ -187,7 +150,7 @@
         if resets:
             self._reset_streams(name)
         dead = dataclasses.replace(node.own, state=member.MemberState.DEAD)
-        notice = functools.partial(self._spread, dead)
+        notice = functools.partial(self._news.spread, dead)
         self.schedule.add(self.settings.detection_seconds, notice)
 
     def stop(self, name: str) -> None:
@@ -197,7 +160,7 @@
         """
         node = self.nodes[name]
         node.is_leaving = True
-        self._announce(node, member.MemberState.LEAVING)
+        self._news.announce(node, member.MemberState.LEAVING)
         self._feed(node, event_module.StopRequested())
         check = functools.partial(self._finish_stop, node)
         self.schedule.add(self.settings.fabric_lag_seconds, check)
@@ -230,7 +193,7 @@
         """
         pairs = list(itertools.product(one, other))
         self.links.cut.update(map(frozenset, pairs))
-        notice = functools.partial(self._notice_cut, pairs)
+        notice = functools.partial(self._news.notice_cut, pairs)
         self.schedule.add(self.settings.detection_seconds, notice)
 
     def join(self) -> None:
@@ -239,7 +202,7 @@
         self.links.cut.clear()
         for name in sorted({name for pair in pairs for name in pair}):
             if name in self.nodes:
-                self._refute(self.nodes[name])
+                self._news.refute(self.nodes[name])
 
     def cut_platform(self, name: str, is_cut_off: bool) -> None:
         """Cut an instance off from what is published, or join it again.
@@ -292,69 +255,20 @@
         for node in self.nodes.values():
             self._later(self._feed, node, report)
 
-    def _welcome(self, node: Node) -> None:
-        for peer in list(self.nodes.values()):
-            if peer is not node:
-                self._learn(node, peer.own)
-        self._catch_up_later(node)
-
-    def _spread(self, news: member.Member) -> None:
-        for node in self.nodes.values():
-            pair = frozenset((node.name, news.name))
-            if node.name == news.name or pair in self.links.cut:
-                continue
-            self._later(self._learn, node, news)
-
-    def _learn(self, node: Node, news: member.Member) -> None:
-        self._feed_all(node, node.view.learn(news))
-        if node.view.members[news.name] != news or news.name == node.name:
-            return
-        if news.state.is_reachable:
-            self._feed(node, event_module.PeerConnected(news.name))
-        else:
-            self._feed(node, event_module.PeerLost(news.name))
-
-    def _notice_cut(self, pairs: list[tuple[str, str]]) -> None:
-        for one, other in pairs:
-            if frozenset((one, other)) in self.links.cut:
-                self._notice_death(one, other)
-                self._notice_death(other, one)
-
-    def _notice_death(self, name: str, peer: str) -> None:
-        node = self.nodes.get(name)
-        seen = node.view.members.get(peer) if node else None
-        if seen is None or not seen.state.is_reachable:
-            return
-        dead = dataclasses.replace(seen, state=member.MemberState.DEAD)
-        self._later(self._learn, node, dead)
-
-    def _refute(self, node: Node) -> None:
-        self._incarnations[node.name] += 1
-        again = dataclasses.replace(
-            node.own, incarnation=self._incarnations[node.name]
-        )
-        self._feed_all(node, node.view.learn(again))
-        self._spread(again)
-
     def _spread_published(self) -> None:
         for node in self.nodes.values():
             self._catch_up_later(node)
 
-    def _catch_up_later(self, node: Node) -> None:
+    def _catch_up_later(self, node: _flow_node.Node) -> None:
         self._later(self._catch_up, node)
 
-    def _catch_up(self, node: Node) -> None:
+    def _catch_up(self, node: _flow_node.Node) -> None:
         if node.is_cut_off:
             return
         self._feed_all(node, node.view.catch_up(self.published))
         self._serving = None
         if node.own.state is member.MemberState.JOINING:
-            self._announce(node, member.MemberState.ALIVE)
-
-    def _announce(self, node: Node, state: member.MemberState) -> None:
-        changed = dataclasses.replace(node.own, state=state)
-        self._feed_all(node, node.view.learn(changed))
-        self._spread(changed)
+            self._news.announce(node, member.MemberState.ALIVE)
 
     def _publish_object(self, written: stored.StoredObject) -> None:
         self.published.objects[written.path] = written
@@ -374,7 +288,9 @@
             }
             self._later(self._hear_revisions, node, heard)
 
-    def _hear_revisions(self, node: Node, heard: dict[str, int]) -> None:
+    def _hear_revisions(
+        self, node: _flow_node.Node, heard: dict[str, int]
+    ) -> None:
         self._feed_all(node, node.view.hear_revisions(heard))
 
     def _reset_streams(self, name: str) -> None:
@@ -382,7 +298,7 @@
             if name in node.view.members:
                 self._feed(node, event_module.PeerLost(name))
 
-    def _finish_stop(self, node: Node) -> None:
+    def _finish_stop(self, node: _flow_node.Node) -> None:
         if not getattr(node.core, 'is_finished', True):
             check = functools.partial(self._finish_stop, node)
             self.schedule.add(TICK_SECONDS, check)
@@ -393,9 +309,9 @@
         self._serving = None
         self._reset_streams(node.name)
         left = dataclasses.replace(node.own, state=member.MemberState.LEFT)
-        self._spread(left)
+        self._news.spread(left)
 
-    def _tick(self, node: Node) -> None:
+    def _tick(self, node: _flow_node.Node) -> None:
         if self.nodes.get(node.name) is not node:
             return
         self._feed(node, event_module.Tick())
@@ -409,26 +325,28 @@
             received = event_module.PeerMessageReceived(sender, message)
             self._feed(node, received)
 
-    def _later(self, act: object, node: Node, *arguments: object) -> None:
+    def _later(
+        self, act: object, node: _flow_node.Node, *arguments: object
+    ) -> None:
         delay = self._source.uniform(0, self.settings.uneven_seconds)
         action = functools.partial(self._act, act, node, arguments)
         self.schedule.add(delay, action)
 
     def _act(
-        self, act: object, node: Node, arguments: tuple[object, ...]
+        self, act: object, node: _flow_node.Node, arguments: tuple[object, ...]
     ) -> None:
         if self.nodes.get(node.name) is node:
             act(node, *arguments)
 
-    def _feed_all(self, node: Node, events: list[object]) -> None:
+    def _feed_all(self, node: _flow_node.Node, events: list[object]) -> None:
         for each in events:
             self._feed(node, each)
 
-    def _feed(self, node: Node, event: object) -> None:
+    def _feed(self, node: _flow_node.Node, event: object) -> None:
         now = self.schedule.now + node.clock_offset
         self._execute(node, node.core.handle(now, event))
 
-    def _execute(self, node: Node, effects: list[object]) -> None:
+    def _execute(self, node: _flow_node.Node, effects: list[object]) -> None:
         for each in effects:
             if type(each) is effect.ForwardDatagram:
                 self.oracle.record_forward(self.schedule.now, node.name, each)
@@ -446,7 +364,7 @@
 
     def _end_write(
         self,
-        node: Node,
+        node: _flow_node.Node,
         write: stored.WriteObject,
         status: stored.PlatformStatus,
         current: stored.StoredObject | None,
--- a/skylarkfold/membership/_core.py
+++ b/skylarkfold/membership/_core.py
@@ -27,6 +27,7 @@
 from skylarkfold.membership import _roster
 from skylarkfold.membership import _settings
 from skylarkfold.membership import _view
+from skylarkfold.membership import _watch
 from skylarkfold.membership import _zones
 from skylarkfold import metric
 from skylarkfold import overlay
@@ -89,6 +90,14 @@
         )
         self._learning = _learning.Learning(settings)
         self._outlook = _outlook.Outlook(self._own, view, self._learning)
+        self._watch = _watch.Watch(
+            self._own,
+            self._roster,
+            self._detector,
+            self._probes,
+            self._ledger,
+            self._outlook,
+        )
         self._is_started = False
         self._next_beat = 0.0
         self._next_reconnect = 0.0
@@ -311,14 +320,14 @@
     def _beat(self, now: float) -> list[object]:
         # The own zone is silent only for one that hears nobody at all:
         # else its mates are watched one by one.
-        if not (self._has_mates() and self._detector.is_isolated(now)):
+        if not (self._watch.has_mates() and self._detector.is_isolated(now)):
             self._zones.note_heard(self._own.zone, now)
         self._roster.expire(now - self._settings.forget_seconds)
         self._zones.note_least(
             self._own.zone, self._progress.compute_least(), now
         )
         effects = self._settle(now)
-        effects += self._judge(now)
+        effects += self._watch.judge(now)
         if self._outlook.is_outdated(now):
             self._ledger.is_changed = True
         is_urgent, self._is_urgent = self._is_urgent, False
@@ -331,40 +340,6 @@
         pause = self._settings.urgent_seconds
         return self._is_urgent and now >= self._beat_at + pause
 
-    def _has_mates(self) -> bool:
-        return any(
-            fact.zone == self._own.zone
-            and fact.name != self._own.name
-            and not _roster.is_gone(fact)
-            for fact in self._roster.list_facts()
-        )
-
-    def _judge(self, now: float) -> list[object]:
-        watched = self._list_watched()
-        effects = []
-        for target in self._detector.find_silent(watched, now):
-            effects += self._probes.send(
-                target, self._outlook.membership, self._outlook.neighbours
-            )
-        unanswered = self._detector.list_unanswered(now)
-        overdue = self._detector.list_overdue(now)
-        if self._detector.is_isolated(now):
-            self._detector.hold(now)
-            return effects
-        for name in unanswered:
-            effects += self._ledger.declare(name, now, is_suspect=True)
-        for name in overdue:
-            effects += self._ledger.declare(name, now, state=_State.DEAD)
-        return effects
-
-    def _list_watched(self) -> list[str]:
-        return [
-            name
-            for name in self._outlook.neighbours
-            if (fact := self._roster.get(name)) is not None
-            and fact.zone == self._own.zone
-        ]
-
     def _settle(self, now: float) -> list[object]:
         is_alone = self._detector.is_isolated(now)
         revision = self._own.fact.revision
--- a/skylarkfold/requests/_answers.py
+++ b/skylarkfold/requests/_answers.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 
+from skylarkfold import event
 from skylarkfold import request as request_module
 from skylarkfold import verdict as verdict_module
 
@@ -110,6 +111,21 @@
     return len(answer.body) >= int(announced)
 
 
+def classify(
+    request: request_module.Request, ended: event.AttemptEnded
+) -> request_module.Outcome:
+    """Tell how an attempt ended, its answer checked.
+
+    :param request: the request.
+    :param ended: what was seen of the attempt.
+    :returns: the outcome; broken where the answer is cut off.
+    """
+    answered = request_module.Outcome.ANSWERED
+    if ended.outcome is not answered or is_whole(request, ended.answer):
+        return ended.outcome
+    return request_module.Outcome.BROKEN
+
+
 def is_lasting(answer: request_module.Answer) -> bool:
     """Tell whether an answer for a key is still true when it arrives.
 
--- a/skylarkfold/requests/_context.py
+++ b/skylarkfold/requests/_context.py
@@ -101,6 +101,18 @@
         )
         self.send(asker.peer, ended)
 
+    def reply_all(
+        self, askers: dict[Asker, float], answer: request_module.Answer
+    ) -> None:
+        """Send a final answer to all who wait, and expect none of them.
+
+        :param askers: who asked, each with its deadline; empty afterwards.
+        :param answer: the answer.
+        """
+        for asker in askers:
+            self.reply(asker, answer)
+        askers.clear()
+
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter.
 
--- a/skylarkfold/requests/_intake.py
+++ b/skylarkfold/requests/_intake.py
@@ -30,14 +30,14 @@
     received: event.RequestReceived, core: _core.RequestCore, now: float
 ) -> None:
     request = received.request
-    core.receive(now, request, _context.Asker('', 0, request.number))
+    core.reception.receive(now, request, _context.Asker('', 0, request.number))
 
 
 @take.register(event.RequestCancelled)
 def _(
     received: event.RequestCancelled, core: _core.RequestCore, now: float
 ) -> None:
-    core.cancel(now, received.request)
+    core.reception.cancel(now, received.request)
 
 
 @take.register(event.AttemptEnded)
@@ -134,7 +134,7 @@
     core: _core.RequestCore,
     now: float,
 ) -> None:
-    core.vote(now, sender, received)
+    core.voter.vote(now, sender, received)
 
 
 @take_message.register(_messages.VoteMessage)
@@ -154,7 +154,7 @@
     core: _core.RequestCore,
     now: float,
 ) -> None:
-    core.release(sender, received)
+    core.voter.release(sender, received)
 
 
 @take_message.register(_messages.PassMessage)
@@ -164,7 +164,7 @@
     core: _core.RequestCore,
     now: float,
 ) -> None:
-    core.take_pass(now, sender, received)
+    core.reception.take_pass(now, sender, received)
 
 
 @take_message.register(_messages.PassEndedMessage)
--- a/skylarkfold/requests/_keys.py
+++ b/skylarkfold/requests/_keys.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import functools
 from typing import Protocol
 
 from skylarkfold import metric
@@ -19,13 +18,12 @@
 from skylarkfold.requests import _holders
 from skylarkfold.requests import _memory
 from skylarkfold.requests import _messages
+from skylarkfold.requests import _ownership
 from skylarkfold.requests import _passes
 from skylarkfold.requests import _record
-from skylarkfold.requests import _register
 from skylarkfold import verdict as verdict_module
 
 Code = _answers.Code
-Owner = _register.Owner
 PassStatus = _messages.PassStatus
 Standing = _record.Standing
 Verdict = verdict_module.Verdict
@@ -70,6 +68,9 @@
         self._memory = _memory.KeyMemory(context.settings)
         self._by_number: dict[int, _record.KeyRecord] = {}
         self._handing = _handing.Handing(context, claimant, self._memory)
+        self._ownership = _ownership.Ownership(
+            context, claimant, passes, self._memory, self._run
+        )
 
     def __len__(self) -> int:
         return len(self._memory)
@@ -114,7 +115,7 @@
         record.askers[asker] = deadline
         record.give_up_at = now + self._settings.claim_patience_seconds
         self._memory.add(record)
-        self._claim(now, record)
+        self._ownership.claim(now, record)
 
     def recall(
         self,
@@ -153,9 +154,7 @@
         :param sender: the holder.
         :param vote: its answer; one to another claim is ignored.
         """
-        record = self._claimant.record_vote(sender, vote)
-        if record is not None:
-            self._evaluate(now, record)
+        self._ownership.record_vote(now, sender, vote)
 
     def end_exchange(
         self, now: float, number: int, answer: request_module.Answer
@@ -176,7 +175,7 @@
         else:
             self._memory.end(now, record, answer)
             self._handing.note_ended(record)
-        self._answer(record, answer)
+        self._context.reply_all(record.askers, answer)
         return True
 
     def cancel(self, now: float, asker: _context.Asker) -> bool:
@@ -210,7 +209,7 @@
         for record in self._memory.list_active():
             self._expire_askers(now, record)
             if record.askers and record.standing is Standing.CLAIMING:
-                self._retry(now, record)
+                self._ownership.retry(now, record)
         self._memory.expire(now)
         self._claimant.expire(now)
 
@@ -220,8 +219,7 @@
         :param now: the time.
         """
         for record in self._memory.list_active():
-            if self._claimant.renew(now, record):
-                self._evaluate(now, record)
+            self._ownership.renew(now, record)
 
     def hand_on(self, successor: _holders.Holder, limit: int) -> None:
         """Hand finished keys on to another instance, a portion at a time.
@@ -258,125 +256,11 @@
             return
         record.askers[asker] = deadline
 
-    def _claim(self, now: float, record: _record.KeyRecord) -> None:
-        record.standing = Standing.CLAIMING
-        self._claimant.claim(now, record)
-        self._evaluate(now, record)
-
-    def _evaluate(self, now: float, record: _record.KeyRecord) -> None:
-        if now >= record.give_up_at:
-            self._give_up(now, record, Code.KEY_UNVERIFIED)
-            return
-        if not self._is_decided(record) and not record.claim.is_waiting:
-            self._claimant.ask_silent(now, record)
-        if record.claim.is_won:
-            self._win(now, record)
-        elif self._is_decided(record):
-            self._lose(now, record)
-
-    def _is_decided(self, record: _record.KeyRecord) -> bool:
-        reachable = self._context.reachable | {self._context.name}
-        claim = record.claim
-        return claim.is_won or claim.is_lost or not claim.can_win(reachable)
-
-    def _win(self, now: float, record: _record.KeyRecord) -> None:
-        self._claimant.finish(record)
-        record.standing = Standing.OWNED
+    def _run(self, now: float, record: _record.KeyRecord) -> None:
         self._by_number[record.request.number] = record
-        self._context.log(
-            'claim', record.key.hex(), 'won', record.request.service
-        )
         deadline = max(record.askers.values())
         self._runner.begin(now, record.request, deadline)
 
-    def _lose(self, now: float, record: _record.KeyRecord) -> None:
-        rivals = record.claim.rivals
-        self._claimant.abandon(now, record)
-        if not rivals:
-            self._give_up(now, record, Code.KEY_UNVERIFIED)
-            return
-        reachable = self._context.reachable
-        rival = max(
-            rivals,
-            key=lambda each: (each.name in reachable, rivals[each], each),
-        )
-        self._context.log(
-            'claim',
-            record.key.hex(),
-            'lost',
-            record.request.service,
-            rival.name,
-        )
-        self._ask(now, record, rival)
-
-    def _ask(
-        self, now: float, record: _record.KeyRecord, rival: Owner
-    ) -> None:
-        if rival.name == self._context.name:
-            self._ask_own_past(now, record, rival)
-            return
-        if rival.name not in self._context.reachable:
-            self._give_up(now, record, Code.KEY_OWNER_LOST)
-            return
-        record.standing = Standing.ASKING
-        passed = _passes.Pass(
-            peer=rival.name,
-            boot=rival.boot,
-            kind=_messages.PassKind.RECALL,
-            request=record.request,
-            deadline=max(record.askers.values()),
-            ended=functools.partial(self._end_asking, record=record),
-            claim=rival.claim,
-        )
-        record.pass_number = self._passes.send(now, passed)
-
-    def _ask_own_past(
-        self, now: float, record: _record.KeyRecord, rival: Owner
-    ) -> None:
-        is_ours = rival.boot == self._context.boot
-        if is_ours and self._claimant.has_abandoned(rival.claim):
-            self._claimant.release(record.key, rival.claim)
-            self._claim_later(now, record)
-            return
-        self._give_up(now, record, Code.KEY_OWNER_LOST)
-
-    def _end_asking(
-        self,
-        now: float,
-        status: PassStatus,
-        answer: request_module.Answer | None,
-        record: _record.KeyRecord,
-    ) -> None:
-        if record.standing is not Standing.ASKING:
-            return
-        record.pass_number = 0
-        if status is PassStatus.ANSWERED and _answers.is_lasting(answer):
-            self._memory.drop(record)
-            self._answer(record, answer)
-        elif status in (PassStatus.ABANDONED, PassStatus.ANSWERED):
-            self._claim_later(now, record)
-        else:
-            self._give_up(now, record, Code.KEY_OWNER_LOST)
-
-    def _claim_later(self, now: float, record: _record.KeyRecord) -> None:
-        patience = self._settings.claim_patience_seconds
-        record.standing = Standing.CLAIMING
-        record.give_up_at = now + patience
-        record.retry_at = now + self._context.spread(
-            self._settings.claim_retry_seconds, f'later|{now}'
-        )
-
-    def _retry(self, now: float, record: _record.KeyRecord) -> None:
-        if now >= record.give_up_at:
-            self._give_up(now, record, Code.KEY_UNVERIFIED)
-        elif now < record.retry_at:
-            return
-        elif record.claim is None:
-            self._claim(now, record)
-        else:
-            self._claimant.ask_silent(now, record)
-            self._evaluate(now, record)
-
     def _expire_askers(self, now: float, record: _record.KeyRecord) -> None:
         late = [
             asker
@@ -399,23 +283,6 @@
         self._passes.forget(record.pass_number)
         self._memory.drop(record)
 
-    def _give_up(
-        self, now: float, record: _record.KeyRecord, code: Code
-    ) -> None:
-        self._claimant.abandon(now, record)
-        self._memory.drop(record)
-        answer = _answers.refuse(
-            MAY_HAVE_RUN, code, self._settings.retry_after_seconds
-        )
-        self._answer(record, answer)
-
-    def _answer(
-        self, record: _record.KeyRecord, answer: request_module.Answer
-    ) -> None:
-        for asker in record.askers:
-            self._context.reply(asker, answer)
-        record.askers.clear()
-
     def _refuse(
         self, asker: _context.Asker, verdict: Verdict, code: Code
     ) -> None:
--- a/skylarkfold/requests/_lifecycle.py
+++ b/skylarkfold/requests/_lifecycle.py
@@ -10,12 +10,12 @@
 from collections.abc import Iterator
 
 from skylarkfold import admission
-from skylarkfold import effect
 from skylarkfold import event
 from skylarkfold import message as message_module
 from skylarkfold import metric
 from skylarkfold import request as request_module
 from skylarkfold.requests import _answers
+from skylarkfold.requests import _attempts
 from skylarkfold.requests import _context
 from skylarkfold.requests import _exchange
 from skylarkfold.requests import _retry
@@ -24,7 +24,6 @@
 from skylarkfold import verdict as verdict_module
 
 Ended = Callable[[float, _exchange.Exchange, request_module.Answer], None]
-PassOn = Callable[[float, _exchange.Exchange, str, int], int]
 Verdict = verdict_module.Verdict
 Outcome = request_module.Outcome
 Code = _answers.Code
@@ -42,24 +41,24 @@
     """
 
     def __init__(
-        self, context: _context.Context, ended: Ended, pass_on: PassOn
+        self,
+        context: _context.Context,
+        ended: Ended,
+        pass_on: _attempts.PassOn,
     ) -> None:
         self._context = context
         self._settings = context.settings
         self._ended = ended
-        self._pass_on = pass_on
-        self._retry = _retry.RetryPolicy(context)
+        self._retries = _retry.Retries(context)
         self._selector = selection.Selector(
             context.instance,
             context.settings.selection,
             context.draw('selection'),
         )
+        self._attempts = _attempts.Attempts(context, self._selector, pass_on)
         self._queue = admission.AdmissionQueue(context.settings.admission)
         self._services: dict[str, service_module.Service] = {}
         self._exchanges: dict[int, _exchange.Exchange] = {}
-        self._running: dict[int, _exchange.Exchange] = {}
-        self._waiting: dict[int, _exchange.Exchange] = {}
-        self._last_attempt = 0
         self._is_touched = False
 
     def __len__(self) -> int:
@@ -128,7 +127,7 @@
         if exchange is None:
             return
         if exchange.state is State.RUNNING:
-            self._abandon_attempt(now, exchange, Outcome.CANCELLED)
+            self._attempts.abandon(now, exchange, Outcome.CANCELLED)
         self._give_up(now, exchange, Code.CANCELLED)
         self.pump(now, exchange.request.service)
 
@@ -149,16 +148,16 @@
         :param ended: how it ended; an attempt that was given up is
             unknown here and its answer goes to nobody.
         """
-        exchange = self._running.pop(ended.attempt, None)
+        exchange = self._attempts.take(ended.attempt)
         if exchange is None:
             self._context.count(metric.REQUESTS_LATE_ANSWERS)
             return
-        outcome = _classify(exchange.request, ended)
+        outcome = _answers.classify(exchange.request, ended)
         if outcome is Outcome.ANSWERED and exchange.upstream:
             self._queue.record_service(
                 now, exchange.request.service, now - exchange.started
             )
-        self._record_outcome(now, exchange, outcome)
+        self._attempts.end(now, exchange, outcome)
         if outcome is Outcome.ANSWERED:
             self._end(now, exchange, _answers.confirm(ended.answer))
         else:
@@ -175,7 +174,7 @@
         self._end_expired(now)
         for exchange in list(self._list_late(now)):
             if exchange.state is State.RUNNING:
-                self._abandon_attempt(now, exchange, Outcome.TIMED_OUT)
+                self._attempts.abandon(now, exchange, Outcome.TIMED_OUT)
             self._give_up(now, exchange, Code.DEADLINE_EXCEEDED)
         for service_name in self._services:
             self.pump(now, service_name)
@@ -227,7 +226,7 @@
         """
         self._is_touched = True
         self._record_waiting(now, service_name)
-        if not self._waiting and not self._queue.has_waiting(service_name):
+        if not self._retries and not self._queue.has_waiting(service_name):
             return
         self._pump_retries(now, service_name)
         self._pump_queue(now, service_name)
@@ -239,7 +238,7 @@
 
     def _list_pending(self) -> list[str]:
         names = set(self._queue.list_services())
-        names.update(each.request.service for each in self._waiting.values())
+        names.update(self._retries.list_services())
         return sorted(names)
 
     def _pump_queue(self, now: float, service_name: str) -> None:
@@ -257,22 +256,11 @@
             exchange = self._exchanges[queued.request.number]
             if choice.upstream is not None:
                 self._dispatch(now, exchange, choice)
-            elif not self._pass(now, exchange, choice.pass_to):
+            elif self._attempts.pass_to(now, exchange, choice.pass_to):
+                self._retries.note_attempt(exchange)
+            else:
                 self._give_up(now, exchange, Code.UPSTREAM_UNREACHABLE)
 
-    def _pass(
-        self, now: float, exchange: _exchange.Exchange, peer: str
-    ) -> bool:
-        if exchange.request.number < 0 or exchange.deadline <= now:
-            return False
-        attempt = self._last_attempt + 1
-        number = self._pass_on(now, exchange, peer, attempt)
-        if not number:
-            return False
-        self._start(now, exchange, '')
-        exchange.pass_number = number
-        return True
-
     def _end_expired(self, now: float) -> None:
         for late in self._queue.expire(now):
             self._end_refused(
@@ -326,12 +314,7 @@
                 yield exchange
 
     def _pump_retries(self, now: float, service_name: str) -> None:
-        due = [
-            each
-            for each in self._waiting.values()
-            if each.request.service == service_name and each.retry_at <= now
-        ]
-        for exchange in due:
+        for exchange in self._retries.list_due(now, service_name):
             choice = self._selector.choose(now, service_name, exchange.failed)
             if choice.upstream is not None:
                 self._dispatch(now, exchange, choice)
@@ -342,63 +325,12 @@
         exchange: _exchange.Exchange,
         choice: selection.Choice,
     ) -> None:
-        remaining = exchange.deadline - now
-        if remaining <= 0:
+        if exchange.deadline <= now:
             self._give_up(now, exchange, Code.DEADLINE_EXCEEDED)
             return
-        request = exchange.request
-        self._start(now, exchange, choice.upstream.name)
-        self._selector.record_dispatch(now, request.service, exchange.upstream)
-        self._log(exchange, 'dispatch', choice.reason)
-        self._context.effects.append(
-            effect.DispatchAttempt(
-                attempt=exchange.attempt,
-                request=request,
-                service=self._services[request.service],
-                upstream=choice.upstream,
-                timeout_seconds=remaining,
-            )
-        )
-
-    def _start(
-        self, now: float, exchange: _exchange.Exchange, upstream: str
-    ) -> None:
-        self._last_attempt += 1
-        self._waiting.pop(exchange.request.number, None)
-        exchange.state = State.RUNNING
-        exchange.attempt = self._last_attempt
-        exchange.upstream = upstream
-        exchange.pass_number = 0
-        exchange.started = now
-        exchange.attempts += 1
-        if exchange.attempts == 1:
-            self._retry.earn()
-        self._running[exchange.attempt] = exchange
-
-    def _abandon_attempt(
-        self, now: float, exchange: _exchange.Exchange, outcome: Outcome
-    ) -> None:
-        self._running.pop(exchange.attempt, None)
-        if exchange.upstream:
-            cancelled = effect.CancelAttempt(exchange.attempt)
-            self._context.effects.append(cancelled)
-        self._record_outcome(now, exchange, outcome)
-        exchange.may_have_run = True
-
-    def _record_outcome(
-        self, now: float, exchange: _exchange.Exchange, outcome: Outcome
-    ) -> None:
-        self._is_touched = True
-        if exchange.upstream:
-            self._selector.record_outcome(
-                now,
-                exchange.request.service,
-                exchange.upstream,
-                outcome,
-                now - exchange.started,
-            )
-        self._log(exchange, 'attempt-end', outcome)
-        exchange.attempt = 0
+        service = self._services[exchange.request.service]
+        self._attempts.dispatch(now, exchange, service, choice)
+        self._retries.note_attempt(exchange)
 
     def _judge_failure(
         self,
@@ -411,11 +343,7 @@
         if outcome.verdict is Verdict.MAY_HAVE_RUN:
             exchange.may_have_run = True
         service = self._services.get(exchange.request.service)
-        retry_at = self._retry.plan(now, exchange, service)
-        if retry_at is not None:
-            exchange.state = State.WAITING
-            self._waiting[exchange.request.number] = exchange
-            exchange.retry_at = retry_at
+        if self._retries.plan(now, exchange, service):
             return
         advice = answer.retry_after_seconds if answer else None
         self._give_up(now, exchange, _answers.name_outcome(outcome), advice)
@@ -453,28 +381,6 @@
             self._queue.cancel(number)
         exchange.state = State.ENDED
         del self._exchanges[number]
-        self._waiting.pop(number, None)
+        self._retries.forget(number)
         self._context.count(f'{metric.REQUESTS_ANSWERED}.{answer.verdict}')
         self._ended(now, exchange, answer)
-
-    def _log(
-        self, exchange: _exchange.Exchange, kind: str, reason: str
-    ) -> None:
-        request = exchange.request
-        self._context.log(
-            kind,
-            f'{request.number}/{exchange.attempt}',
-            reason,
-            request.service,
-            exchange.upstream,
-        )
-
-
-def _classify(
-    request: request_module.Request, ended: event.AttemptEnded
-) -> Outcome:
-    if ended.outcome is not Outcome.ANSWERED:
-        return ended.outcome
-    if _answers.is_whole(request, ended.answer):
-        return Outcome.ANSWERED
-    return Outcome.BROKEN
--- a/skylarkfold/requests/_retry.py
+++ b/skylarkfold/requests/_retry.py
@@ -1,4 +1,4 @@
-"""Whether and when an attempt is followed by another."""
+"""Whether and when an attempt is followed by another, and who waits."""
 
 from __future__ import annotations
 
@@ -8,34 +8,84 @@
 from skylarkfold import service as service_module
 
 
-class RetryPolicy:
+class Retries:
     """Allows retries that are safe, useful and within the budget.
 
     :param context: what the parts of the core share.
     """
 
+    __slots__ = ('_budget', '_context', '_settings', '_waiting')
+
     def __init__(self, context: _context.Context) -> None:
         self._context = context
         self._settings = context.settings
         self._budget = _budget.RetryBudget(context.settings)
+        self._waiting: dict[int, _exchange.Exchange] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def note_attempt(self, exchange: _exchange.Exchange) -> None:
+        """Count an attempt that has begun; its exchange waits no more.
+
+        :param exchange: the exchange.
+        """
+        self.forget(exchange.request.number)
+        if exchange.attempts == 1:
+            self._budget.earn()
 
-    def earn(self) -> None:
-        """Count a first attempt."""
-        self._budget.earn()
+    def forget(self, number: int) -> None:
+        """Try an exchange no more.
+
+        :param number: its request's number.
+        """
+        self._waiting.pop(number, None)
+
+    def list_due(
+        self, now: float, service_name: str
+    ) -> list[_exchange.Exchange]:
+        """List the exchanges of a service that may be tried again.
+
+        :param now: the time.
+        :param service_name: the service.
+        """
+        return [
+            each
+            for each in self._waiting.values()
+            if each.request.service == service_name and each.retry_at <= now
+        ]
+
+    def list_services(self) -> set[str]:
+        """List the services for which an exchange waits."""
+        return {each.request.service for each in self._waiting.values()}
 
     def plan(
         self,
         now: float,
         exchange: _exchange.Exchange,
         service: service_module.Service | None,
-    ) -> float | None:
-        """Plan a retry and take it from the budget.
+    ) -> bool:
+        """Let an exchange wait for a retry, taken from the budget.
 
         :param now: the time.
         :param exchange: the exchange whose attempt has just failed.
         :param service: its service, None where it is no longer known.
-        :returns: when to try again; None where it must not be.
+        :returns: False where it must not be tried again.
         """
+        retry_at = self._find_time(now, exchange, service)
+        if retry_at is None:
+            return False
+        exchange.state = _exchange.State.WAITING
+        exchange.retry_at = retry_at
+        self._waiting[exchange.request.number] = exchange
+        return True
+
+    def _find_time(
+        self,
+        now: float,
+        exchange: _exchange.Exchange,
+        service: service_module.Service | None,
+    ) -> float | None:
         retry_at = now + self._draw_delay(exchange)
         if exchange.may_have_run and not exchange.request.idempotent:
             return None
--- a/skylarkfold/tests/relay/test_spread.py
+++ b/skylarkfold/tests/relay/test_spread.py
@@ -5,6 +5,7 @@
 import testtools
 
 from skylarkfold.measure import _relay_fleet as fleet_module
+from skylarkfold.measure import _relay_store
 from skylarkfold import relay
 from skylarkfold import revision as revisions
 
@@ -169,7 +170,7 @@
         settings = relay.RelaySettings(topics=topics)
         ahead = relay.RelayCore('ahead', 'a', 'h-0', settings)
         behind = relay.RelayCore('behind', 'a', 'h-1', settings)
-        store = fleet_module.FakeStore(topics)
+        store = _relay_store.FakeStore(topics)
         store.put('routes', 'kept', {})
         store.put('routes', 'gone', {})
         self.list_all(behind, store)
