Requests, soak: no circle of imports

requests/_core and _intake named each other, and soak/_session and _world, the one half of each only for its types, so neither could be read or moved alone.

The core's events and messages go through two tables of the core's own, by their exact types (none has subtypes); _intake is gone, and with it 24 functions of one shape. Every taker of a message now has the arguments now, sender, message. The soak's run begins its sessions, not the world, which has the deadline of requests; _returns imports the world plainly.

Ruled out: a protocol of the core in the intake, which would have named its 25 methods twice.

A script that follows every import, also under TYPE_CHECKING and inside functions, found these two circles in 401 modules before and none after.

--- a/skylarkfold/requests/_core.py
+++ b/skylarkfold/requests/_core.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import functools
+import typing
 
 from skylarkfold import configuration as configuration_module
 from skylarkfold import event
@@ -12,7 +14,7 @@
 from skylarkfold.requests import _claimant
 from skylarkfold.requests import _context
 from skylarkfold.requests import _exchange
-from skylarkfold.requests import _intake
+from skylarkfold.requests import _holders
 from skylarkfold.requests import _keys
 from skylarkfold.requests import _lifecycle
 from skylarkfold.requests import _messages
@@ -23,9 +25,12 @@
 from skylarkfold.requests import _stop
 from skylarkfold.requests import _succession
 from skylarkfold.requests import _voter
+from skylarkfold import stored
 
 PassKind = _messages.PassKind
 PassStatus = _messages.PassStatus
+Taker = Callable[[float, typing.Any], None]
+MessageTaker = Callable[[float, str, typing.Any], None]
 
 
 class RequestCore:
@@ -75,6 +80,8 @@
         )
         self._ready_at: float | None = None
         self._is_overdue = False
+        self._takers = self._list_event_takers()
+        self._message_takers = self._list_message_takers()
 
     @property
     def is_stopping(self) -> bool:
@@ -104,32 +111,74 @@
         :returns: effects of :mod:`skylarkfold.effect`, in order.
         """
         self.reception.notice_pause(now)
-        _intake.take(received, self, now)
+        take = self._takers.get(type(received))
+        if take is not None:
+            take(now, received)
         self.lifecycle.flush(now)
         self._stop.finish(now)
         produced = self.context.effects[:]
         self.context.effects.clear()
         return produced
 
-    def configure(
-        self, now: float, configuration: configuration_module.Configuration
+    def _list_event_takers(self) -> dict[type, Taker]:
+        return {
+            event.RequestReceived: self._receive,
+            event.RequestCancelled: self._cancel,
+            event.AttemptEnded: self.lifecycle.end_attempt,
+            event.LoadReported: self.lifecycle.record_load,
+            event.ConfigurationChanged: self._configure,
+            event.MembershipChanged: self._observe_membership,
+            event.ObjectChanged: self._observe_object,
+            event.WriteEnded: self._end_write,
+            event.PeerLost: self._lose_peer,
+            event.PeerMessageReceived: self._take_message,
+            event.StopRequested: self._begin_stop,
+            event.Tick: self._tick,
+        }
+
+    def _list_message_takers(self) -> dict[type, MessageTaker]:
+        return {
+            _messages.ClaimMessage: self.voter.vote,
+            _messages.VoteMessage: self.keys.record_vote,
+            _messages.ReleaseMessage: self.voter.release,
+            _messages.PassMessage: self.reception.take_pass,
+            _messages.PassEndedMessage: self.passes.end,
+            _messages.InheritMessage: self.succession.tell_votes,
+            _messages.InheritedMessage: self.succession.take_votes,
+            _messages.ReportMessage: self.succession.take_report,
+            _messages.HandOnMessage: self.keys.take_over,
+            _messages.HoldersMessage: self._take_holders,
+            _messages.TicketRequestMessage: self.passes.issue,
+            _messages.TicketMessage: self.passes.use_ticket,
+        }
+
+    def _receive(self, now: float, received: event.RequestReceived) -> None:
+        request = received.request
+        own = _context.Asker('', 0, request.number)
+        self.reception.receive(now, request, own)
+
+    def _cancel(self, now: float, cancelled: event.RequestCancelled) -> None:
+        self.reception.cancel(now, cancelled.request)
+
+    def _take_message(
+        self, now: float, received: event.PeerMessageReceived
     ) -> None:
-        """Take a newer configuration.
+        """Hand a message to what decides; those unknown concern slots."""
+        take = self._message_takers.get(
+            type(received.message), self.lifecycle.handle_message
+        )
+        take(now, received.sender, received.message)
 
-        :param now: the time.
-        :param configuration: all services.
-        """
-        self._configuration = configuration
+    def _configure(
+        self, now: float, changed: event.ConfigurationChanged
+    ) -> None:
+        self._configuration = changed.configuration
         self._configure_lifecycle(now)
 
-    def observe_membership(
-        self, now: float, membership: member.Membership
+    def _observe_membership(
+        self, now: float, changed: event.MembershipChanged
     ) -> None:
-        """Take a newer membership.
-
-        :param now: the time.
-        :param membership: all members as seen here.
-        """
+        membership = changed.membership
         owners = self._membership.list_owners()
         self._membership = membership
         before = self.context.reachable
@@ -148,33 +197,43 @@
         if membership.list_owners() != owners:
             self._configure_lifecycle(now)
 
-    def observe_holders(
-        self, now: float, revision: int, version: int, value: bytes | None
+    def _observe_object(
+        self, now: float, changed: event.ObjectChanged
+    ) -> None:
+        known = changed.stored
+        if known.path == _holders.PATH:
+            self._observe_holders(now, known)
+        elif known.path == _holders.GONE_PATH:
+            self.succession.observe_gone(known.value)
+
+    def _take_holders(
+        self, now: float, sender: str, told: _messages.HoldersMessage
     ) -> None:
-        """Take the stored list of holders.
+        self._observe_holders(now, told)
 
-        :param now: the time.
-        :param revision: the store's revision of the object.
-        :param version: the object's version.
-        :param value: the object.
-        """
-        if self.succession.observe(now, revision, version, value):
+    def _observe_holders(
+        self,
+        now: float,
+        known: stored.StoredObject | _messages.HoldersMessage,
+    ) -> None:
+        if self.succession.observe(
+            now, known.revision, known.version, known.value
+        ):
             self.keys.renew_claims(now)
 
-    def end_write(self, now: float, ended: event.WriteEnded) -> None:
-        """Take the outcome of a write.
-
-        :param now: the time.
-        :param ended: the outcome.
-        """
+    def _end_write(self, now: float, ended: event.WriteEnded) -> None:
         if self.succession.end_write(now, ended):
             self.keys.renew_claims(now)
 
-    def tick(self, now: float) -> None:
-        """Do what is due.
+    def _lose_peer(self, now: float, lost: event.PeerLost) -> None:
+        self.passes.lose(now, lost.peer)
+        self.lifecycle.lose_peer(now, lost.peer)
+        self.keys.lose_peer(now, lost.peer)
 
-        :param now: the time.
-        """
+    def _begin_stop(self, now: float, requested: event.StopRequested) -> None:
+        self._stop.begin(now)
+
+    def _tick(self, now: float, ticked: event.Tick) -> None:
         if self._ready_at is None:
             self._ready_at = now + self.context.settings.ready_seconds
         self._is_overdue = now >= self._ready_at
@@ -184,23 +243,6 @@
         self.register.expire(now)
         self.succession.tick(now)
 
-    def stop(self, now: float) -> None:
-        """Take no new work, finish what runs, hand keys on.
-
-        :param now: the time.
-        """
-        self._stop.begin(now)
-
-    def lose_peer(self, now: float, peer: str) -> None:
-        """Take the loss of a peer's stream.
-
-        :param now: the time.
-        :param peer: the peer.
-        """
-        self.passes.lose(now, peer)
-        self.lifecycle.lose_peer(now, peer)
-        self.keys.lose_peer(now, peer)
-
     def _pass_on(
         self,
         now: float,
--- a/skylarkfold/requests/_keys.py
+++ b/skylarkfold/requests/_keys.py
@@ -229,10 +229,13 @@
         """
         self._handing.hand_on(successor, limit)
 
-    def take_over(self, now: float, handed: _messages.HandOnMessage) -> None:
+    def take_over(
+        self, now: float, sender: str, handed: _messages.HandOnMessage
+    ) -> None:
         """Answer for a finished key from now on.
 
         :param now: the time.
+        :param sender: the instance that answered before.
         :param handed: the key's record.
         """
         self._handing.take_over(now, handed)
--- a/skylarkfold/requests/_succession.py
+++ b/skylarkfold/requests/_succession.py
@@ -208,9 +208,12 @@
             if holder.name in self._context.reachable:
                 self._context.send(holder.name, report)
 
-    def tell_votes(self, sender: str, asked: _messages.InheritMessage) -> None:
+    def tell_votes(
+        self, now: float, sender: str, asked: _messages.InheritMessage
+    ) -> None:
         """Tell this instance's votes to a holder that takes them over.
 
+        :param now: the time.
         :param sender: the holder.
         :param asked: its question.
         """
--- a/skylarkfold/requests/_voter.py
+++ b/skylarkfold/requests/_voter.py
@@ -68,9 +68,12 @@
         self._tell_holders(sender, claim.label)
         self._context.send(sender, vote)
 
-    def release(self, sender: str, released: _messages.ReleaseMessage) -> None:
+    def release(
+        self, now: float, sender: str, released: _messages.ReleaseMessage
+    ) -> None:
         """Take a vote back at the word of the claim's maker.
 
+        :param now: the time.
         :param sender: the claimant.
         :param released: the claim, and who follows it.
         """
--- a/skylarkfold/soak/_returns.py
+++ b/skylarkfold/soak/_returns.py
@@ -6,13 +6,10 @@
 from __future__ import annotations
 
 import collections
-import typing
 
+from skylarkfold.soak import _world
 from skylarkfold.standin import packets
 
-if typing.TYPE_CHECKING:
-    from skylarkfold.soak import _world
-
 _COPY_SECONDS = 0.2
 _COPIES = 30
 # How old the copy is at most.
--- a/skylarkfold/soak/_run.py
+++ b/skylarkfold/soak/_run.py
@@ -7,6 +7,7 @@
 from skylarkfold import explain
 from skylarkfold.soak import _director
 from skylarkfold.soak import _plan
+from skylarkfold.soak import _session
 from skylarkfold.soak import _world
 
 _ZONES = ('a', 'b', 'c')
@@ -134,7 +135,7 @@
 ) -> None:
     for caller in world.callers:
         for _ in range(_SESSIONS):
-            world.use(caller, caller.zone)
+            _session.Session(world, caller).begin()
     for step in plan:
         world.loop.call_later(
             step.at, lambda step=step: director.perform(step)
--- a/skylarkfold/soak/_session.py
+++ b/skylarkfold/soak/_session.py
@@ -2,15 +2,10 @@
 
 from __future__ import annotations
 
-import typing
-
+from skylarkfold.soak import _world
 from skylarkfold.standin import packets
 
-if typing.TYPE_CHECKING:
-    from skylarkfold.soak import _world
-
 _FLOW_REQUESTS = 12
-DEADLINE_SECONDS = 2.0
 _RETRIES = 2
 
 
@@ -60,7 +55,7 @@
         world.judge.begin(exchange)
         flow.request(
             exchange,
-            DEADLINE_SECONDS,
+            _world.DEADLINE_SECONDS,
             lambda exchange: self._take(flow, exchange, retries),
         )
 
--- a/skylarkfold/soak/_world.py
+++ b/skylarkfold/soak/_world.py
@@ -12,9 +12,11 @@
 from skylarkfold import reactor
 from skylarkfold.soak import _instance
 from skylarkfold.soak import _judge
-from skylarkfold.soak import _session
 from skylarkfold.standin import packets
 
+# How long a request waits for its answer.
+DEADLINE_SECONDS = 2.0
+
 _PORTS = 10
 _LEAVE_SECONDS = 4.0
 # How often the end looks whether all requests have ended.
@@ -246,14 +248,6 @@
             else:
                 self._faulty.pop(host, None)
 
-    def use(self, caller: packets.Caller, zone: str) -> None:
-        """Send requests from a caller until the run is over.
-
-        :param caller: the caller.
-        :param zone: its zone.
-        """
-        _session.Session(self, caller).begin()
-
     def name_request(self) -> bytes:
         """Make a request that no other one is."""
         return next(self._requests).to_bytes(8, 'big')
@@ -287,7 +281,7 @@
     def finish(self) -> None:
         """Begin no more requests; stop once those that wait have ended."""
         self.is_ending = True
-        self._stop_by(self.loop.now() + _session.DEADLINE_SECONDS)
+        self._stop_by(self.loop.now() + DEADLINE_SECONDS)
 
     def _stop_by(self, at: float) -> None:
         if not self.judge.waiting or self.loop.now() >= at:
