Own room: bulk is let in as far as the link bears it

Callers saw everything late for 20 s after a press of uploads: a small link bears 15 a second and got 16, and callers don't slow down, so live requests and first packets stood in the same queue.

Change: each instance learns what a request of a route brings; what takes its own link for 5 ms is bulk. Of that, 100 ms of the link may be on its way at once and 70% of its rate be taken in the mean, less as far as the rest needs it, 10% at least. First packets beyond that wait for 40% of their aim if they can be let in by then, and are refused at once else (link-full). Preferred routes, open flows, small requests and links of unknown rate notice nothing. Binding of flows moves out of the core for its length.

--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from skylarkfold.affinity import _admission
+from skylarkfold.affinity import _binding
 from skylarkfold.affinity import _directory
 from skylarkfold.affinity import _effect
 from skylarkfold.affinity import _ending
@@ -12,6 +13,7 @@
 from skylarkfold.affinity import _flow
 from skylarkfold.affinity import _health
 from skylarkfold.affinity import _held
+from skylarkfold.affinity import _link
 from skylarkfold.affinity import _load
 from skylarkfold.affinity import _opening
 from skylarkfold.affinity import _packet
@@ -83,6 +85,10 @@
             self.tally,
             self.room,
         )
+        self._binding = _binding.Binding(
+            self._directory, self._flows, self._health, self.tally
+        )
+        self.link = _link.build_gate(self.room, self._refusals, self.tally)
         self._held = _held.HeldPackets()
         self._presence = _presence.Presence(
             settings,
@@ -137,6 +143,8 @@
             return []
         self._routes = routes
         self._limit.set_warm_ups(routes.warm_ups)
+        if self.link is not None:
+            self.link.set_routes(routes)
         details = {'version': routes.version, 'routes': len(routes)}
         effects: list[object] = [
             _effect.Record('routes', 'in-force', details=details)
@@ -185,14 +193,17 @@
         if packet.is_first:
             return self._take_first(now, packet)
         flow = self._flows.get(packet.flow)
-        if flow is None or not _is_bound(flow, packet):
-            flow = self._bind(now, packet, flow)
+        if flow is None or not _binding.is_bound(flow, packet):
+            flow = self._binding.bind(now, packet, flow, self._routes)
             if flow is None:
                 return self._take_unknown(now, packet)
         elif not flow.is_open:
-            self._open(now, flow, packet)
-        if self._routes.get(packet.address) is not None:
+            self._binding.open(now, flow, packet)
+        route = self._routes.get(packet.address)
+        if route is not None:
             flow.is_routed = True
+            if self.link is not None and not route.is_preferred:
+                self.link.take_packet(now, flow, packet, route)
         elif self._is_removed(now, flow):
             return self._take_removed(now, packet, flow)
         return self._carry(now, packet, flow)
@@ -213,6 +224,8 @@
         self._peer_loads.expire(now)
         effects = self._opener.repeat(now, self._routes)
         effects += self._health.tick(now)
+        if self.link is not None:
+            effects += self._release_link(now, self.link)
         for _ in range(self._held.expire(now)):
             self.tally.count(_tally.DROPPED, _tally.HELD_TOO_LONG)
         return effects
@@ -229,6 +242,7 @@
             self._opener.find_due(),
             self._health.find_due(),
             self._held.find_due(),
+            None if self.link is None else self.link.find_due(now),
         )
         return min((at for at in waiting if at is not None), default=None)
 
@@ -241,6 +255,18 @@
         route = self._routes.get(packet.address)
         if route is None:
             return self._refuse_route(now, packet)
+        return self._place(now, packet, route)
+
+    def _place(
+        self,
+        now: float,
+        packet: _packet.Packet,
+        route: _route.Route,
+        has_waited: bool = False,
+    ) -> list[object]:
+        link = self.link
+        if link is not None and link.is_waiting(packet.flow):
+            return self._drop(Reason.REPEATED)
         hashed = _placement.hash_flow(packet.flow)
         service = route.choose_service(hashed)
         # Of a copy, another instance may have placed the first one.
@@ -255,6 +281,12 @@
             return self._refusals.refuse_crowded(
                 packet, self._routes.version, route, standing, expected
             )
+        if link is not None and not route.is_preferred:
+            if not has_waited:
+                held = link.hold(now, packet, route, self._routes.version)
+                if held is not None:
+                    return held
+            link.begin(now, packet)
         flow = _flow.Flow(packet.flow, standing, now)
         flow.is_idempotent = route.is_idempotent
         flow.is_routed = True
@@ -275,45 +307,6 @@
             return self._refuse_route(now, packet)
         return self._opener.take_copy(now, flow, packet, self._routes)
 
-    def _bind(
-        self, now: float, packet: _packet.Packet, flow: _flow.Flow | None
-    ) -> _flow.Flow | None:
-        """Bind a flow to the upstream of its token."""
-        if packet.token == 0:
-            return flow
-        standing = self._directory.find(packet.token)
-        if standing is None:
-            return None
-        if flow is None:
-            flow = _flow.Flow(packet.flow, standing, now)
-            route = self._routes.get(packet.address)
-            if route is not None:
-                flow.is_idempotent = route.is_idempotent
-            # Its former instance may have passed on a request.
-            flow.acknowledged = packet.acknowledged
-            flow.is_open = True
-            if not self._flows.add(flow):
-                return flow
-            _flow.count_in(flow, standing)
-            return flow
-        if flow.standing.is_former:
-            _flow.move(flow, standing, packet.acknowledged, now)
-            return flow
-        _flow.count_in(flow, standing)
-        self._open(now, flow, packet)
-        return flow
-
-    def _open(
-        self, now: float, flow: _flow.Flow, packet: _packet.Packet
-    ) -> None:
-        opened = self.tally.histograms[_tally.OPEN_SECONDS]
-        opened.observe(now - flow.begun_at)
-        flow.is_open = True
-        flow.first = b''
-        # Its upstream's numbers begin anywhere.
-        flow.acknowledged = packet.acknowledged
-        self._health.note_opened(now, flow)
-
     def _carry(
         self, now: float, packet: _packet.Packet, flow: _flow.Flow
     ) -> list[object]:
@@ -382,6 +375,16 @@
         self.tally.count(_tally.HELD, reason)
         return []
 
+    def _release_link(self, now: float, link: _link.LinkGate) -> list[object]:
+        effects: list[object] = []
+        for packet in link.release(now):
+            route = self._routes.get(packet.address)
+            if route is None:
+                effects += self._refuse_route(now, packet)
+            else:
+                effects += self._place(now, packet, route, True)
+        return effects + link.expire(now, self._routes.version)
+
     def _release(self, now: float) -> list[object]:
         if not self.is_ready:
             return []
@@ -389,8 +392,3 @@
         for packet in self._held.release(now):
             effects += self.take_packet(now, packet)
         return effects
-
-
-def _is_bound(flow: _flow.Flow, packet: _packet.Packet) -> bool:
-    standing = flow.standing
-    return packet.token == standing.upstream.token and not standing.is_former
--- a/skylarkfold/affinity/_effect.py
+++ b/skylarkfold/affinity/_effect.py
@@ -17,6 +17,7 @@
     ROUTE_REMOVED = 'route-removed'
     NO_UPSTREAM = 'no-upstream'
     CROWDED = 'crowded'
+    LINK_FULL = 'link-full'
     NO_TOKEN = 'no-token'
     TOKEN_UNKNOWN = 'token-unknown'
     OTHER_SERVICE = 'other-service'
--- a/skylarkfold/affinity/_route.py
+++ b/skylarkfold/affinity/_route.py
@@ -110,6 +110,9 @@
     def __len__(self) -> int:
         return len(self._routes)
 
+    def __contains__(self, address: bytes) -> bool:
+        return address in self._routes
+
     def get(self, address: bytes) -> Route | None:
         """Find the route of an address.
 
--- a/skylarkfold/affinity/_tally.py
+++ b/skylarkfold/affinity/_tally.py
@@ -20,6 +20,8 @@
 DOUBT_SECONDS = 'doubt_seconds'
 # How long the request of a new flow is expected to wait for a slot.
 WAIT_SECONDS = 'wait_seconds'
+# How long first packets waited for room on the instance's own link.
+LINK_WAIT_SECONDS = 'link_wait_seconds'
 
 
 class Tally:
@@ -43,6 +45,13 @@
             )
         }
 
+    def add_histogram(self, name: str) -> None:
+        """Count durations that few instances have.
+
+        :param name: one of this module's histograms.
+        """
+        self.histograms[name] = histogram.Histogram()
+
     def count(self, name: str, reason: str) -> None:
         """Count an event.
 
--- a/skylarkfold/forwarder/_gauges.py
+++ b/skylarkfold/forwarder/_gauges.py
@@ -37,6 +37,8 @@
         'short': float(core.room.is_short(now)),
         'peers': float(len(relay_core.peers.list_neighbours())),
     }
+    if core.link is not None:
+        gauges.update(core.link.list_gauges())
     for topic in relay_core.topics:
         age = relay_core.compute_age(now, topic)
         gauges[f'age_seconds_{topic}'] = _NEVER if age is None else age
--- a/skylarkfold/room/_instance.py
+++ b/skylarkfold/room/_instance.py
@@ -29,6 +29,11 @@
         )
         self._loss = _loss.LossMeter(self._settings.loss_seconds)
 
+    @property
+    def settings(self) -> _settings.RoomSettings:
+        """The limits."""
+        return self._settings
+
     @property
     def bytes_per_second(self) -> float:
         """The rate of the link; 0 where it is not known."""
--- /dev/null
+++ b/skylarkfold/tests/affinity/test_link.py
@@ -0,0 +1,232 @@
+"""Tests of first packets that wait for room on the instance's own link.
+
+Uploads press one small link beside others. What callers need: one that is
+let in is opened once, however often it asked; one that is refused has run
+nowhere and is told so with the reason; one whose route is preferred, or that
+is open, notices nothing; and who has a wide link or none that is known is
+served as without any of this.
+"""
+
+import testtools
+
+from skylarkfold import affinity
+from skylarkfold import room as rooms
+from skylarkfold.tests.affinity import samples
+
+SMALL = 625_000.0
+UPLOAD_BYTES = 40_000
+AIM_SECONDS = 1.345
+WAIT_SECONDS = 0.4 * AIM_SECONDS
+
+
+def build_routes(*addresses, version=2, priority=2):
+    """Build routes for live requests and uploads."""
+    shares = ((samples.SERVICE, 1),)
+    return affinity.RouteTable(
+        version,
+        [
+            affinity.Route(
+                address, shares, True, priority, aim_seconds=AIM_SECONDS
+            )
+            for address in addresses or (samples.ADDRESS,)
+        ],
+    )
+
+
+def build_core(bytes_per_second=SMALL, routes=None, **fields):
+    """Build a core with a link of its own."""
+    room = rooms.InstanceRoom(rooms.RoomSettings(**fields), bytes_per_second)
+    core = affinity.AffinityCore(
+        samples.ZONE, affinity.AffinitySettings(), room
+    )
+    core.set_routes(0.0, routes or build_routes())
+    core.set_upstreams(0.0, [samples.build_upstream(1, slots=99)])
+    core.note_confirmed(0.0)
+    return core
+
+
+def upload(core, now, port, size=UPLOAD_BYTES):
+    """Bring an upload on an open flow, to its answer."""
+    for sent in range(0, size, 1200):
+        length = min(1200, size - sent)
+        packet = samples.build_packet(port, 1, 101 + sent, 501, length)
+        core.take_packet(now, packet)
+    answered = samples.build_packet(port, 1, 101 + size, 901)
+    core.take_packet(now, answered)
+
+
+def teach(core, count=3):
+    """Let uploads be seen."""
+    for port in range(1, 1 + count):
+        core.take_packet(port * 1.0, samples.build_first(port))
+        upload(core, port * 1.0, port)
+    core.tick(5.0)
+    core.note_confirmed(5.0)
+
+
+def press(core, now, count, first=1000):
+    """Bring first packets at once.
+
+    :returns: how many were sent on, wait, and were refused.
+    """
+    sent, held, refused = [], [], []
+    for port in range(first, first + count):
+        effects = core.take_packet(now, samples.build_first(port))
+        if samples.list_forwards(effects):
+            sent.append(port)
+        elif samples.list_resets(effects):
+            refused.append(port)
+        else:
+            held.append(port)
+    return sent, held, refused
+
+
+class LinkTest(testtools.TestCase):
+    def test_a_press_is_let_in_held_and_refused_in_turn(self):
+        core = build_core()
+        teach(core)
+        sent, held, refused = press(core, 5.0, 40)
+        self.assertEqual(
+            list(range(1000, 1040)), sorted(sent + held + refused)
+        )
+        self.assertTrue(sent and held and refused)
+        self.assertLess(max(sent), min(held))
+        self.assertLess(max(held), min(refused))
+        counters = core.tally.counters
+        self.assertEqual(len(held), counters['hold.link-full'])
+        self.assertEqual(len(refused), counters['reset.link-full'])
+
+    def test_the_line_of_a_refusal_says_what_decided_it(self):
+        core = build_core()
+        teach(core)
+        press(core, 5.0, 39)
+        effects = core.take_packet(5.0, samples.build_first(2000))
+        (record,) = (
+            each for each in effects if isinstance(each, affinity.Record)
+        )
+        self.assertEqual('link-full', record.reason)
+        details = record.details
+        self.assertEqual(int(WAIT_SECONDS * 1000), details['limit_ms'])
+        self.assertGreater(details['wait_ms'], details['limit_ms'])
+        self.assertGreater(details['bytes'], 0)
+        self.assertGreater(details['waiting'], 0)
+        self.assertIn('link_share', details)
+
+    def test_those_that_wait_are_let_in_as_transfers_end(self):
+        core = build_core()
+        teach(core)
+        sent, held, _ = press(core, 5.0, 40)
+        for port in sent:
+            upload(core, 5.0, port)
+        effects, now = [], 5.0
+        while core.link.list_gauges()['transfers_waiting']:
+            due = core.find_due(now)
+            now = max(now + 0.001, min(due, now + 0.05))
+            new = core.tick(now)
+            effects += new
+            for each in new:
+                if isinstance(each, affinity.Forward):
+                    port = int.from_bytes(each.data[9:11], 'big')
+                    upload(core, now, port)
+            self.assertLess(now, 5.0 + WAIT_SECONDS + 0.1)
+        opened = samples.list_forwards(effects)
+        resets = samples.list_resets(effects)
+        self.assertEqual(len(held), len(opened) + len(resets))
+        # The estimate was right for nearly all.
+        self.assertLessEqual(len(resets), 1)
+        waits = core.tally.histograms['link_wait_seconds']
+        self.assertEqual(len(held), waits.count)
+
+    def test_one_that_waited_in_vain_is_refused_with_the_reason(self):
+        core = build_core()
+        teach(core)
+        _, held, _ = press(core, 5.0, 40)
+        # Those that were let in never end, and keep the link.
+        core.link._gate.transfers.debt.change(1e9)
+        effects = core.tick(5.0 + WAIT_SECONDS + 0.001)
+        flows = [samples.build_flow(port) for port in held]
+        self.assertEqual(flows, samples.list_resets(effects))
+
+    def test_copies_of_one_that_waits_change_nothing(self):
+        core = build_core()
+        teach(core)
+        _, held, _ = press(core, 5.0, 40)
+        before = core.link.list_gauges()
+        copy = samples.build_first(held[0], copy=1)
+        effects = core.take_packet(5.001, copy)
+        self.assertEqual([], samples.list_forwards(effects))
+        self.assertEqual([], samples.list_resets(effects))
+        self.assertEqual(before, core.link.list_gauges())
+
+    def test_a_copy_that_is_new_here_is_never_refused(self):
+        # Another instance may have placed it, and it may be open.
+        core = build_core()
+        teach(core)
+        press(core, 5.0, 40)
+        effects = []
+        for port in range(2000, 2020):
+            copy = samples.build_first(port, copy=1)
+            effects += core.take_packet(5.0, copy)
+        effects += core.tick(5.0 + WAIT_SECONDS)
+        resets = samples.list_resets(effects)
+        copies = {samples.build_flow(port) for port in range(2000, 2020)}
+        self.assertEqual(set(), copies & set(resets))
+        self.assertGreater(core.tally.counters['drop.link-full'], 0)
+
+    def test_open_flows_are_carried_on(self):
+        core = build_core()
+        teach(core)
+        press(core, 5.0, 40)
+        for sent in range(0, 100 * 1200, 1200):
+            packet = samples.build_packet(1, 1, 101 + sent, 901, 1200)
+            effects = core.take_packet(5.0, packet)
+            self.assertEqual(1, len(samples.list_forwards(effects)))
+
+    def test_preferred_routes_are_never_held(self):
+        last = affinity.Route(
+            samples.OTHER_ADDRESS, ((samples.SERVICE, 1),), True, 2
+        )
+        first = affinity.Route(
+            samples.ADDRESS, ((samples.SERVICE, 1),), True, 1
+        )
+        core = build_core(routes=affinity.RouteTable(1, [first, last]))
+        teach(core)
+        sent, held, refused = press(core, 5.0, 40)
+        self.assertEqual(40, len(sent))
+
+    def test_small_requests_are_never_held(self):
+        core = build_core()
+        for port in range(1, 20):
+            core.take_packet(0.0, samples.build_first(port))
+            upload(core, 0.0, port, 900)
+        sent, held, refused = press(core, 1.0, 200)
+        self.assertEqual(200, len(sent))
+
+    def test_where_the_rate_is_not_known_nothing_is_done(self):
+        for fields in ({'bytes_per_second': 0.0}, {'bulk_share': 0.0}):
+            core = build_core(**fields)
+            self.assertIsNone(core.link)
+            self.assertNotIn('link_wait_seconds', core.tally.histograms)
+            teach(core)
+            self.assertEqual(40, len(press(core, 5.0, 40)[0]))
+
+    def test_a_route_that_goes_takes_those_that_wait_with_it(self):
+        core = build_core()
+        teach(core)
+        _, held, _ = press(core, 5.0, 40)
+        other = build_routes(samples.OTHER_ADDRESS, version=3)
+        core.set_routes(5.1, other)
+        core.note_confirmed(5.1)
+        effects = []
+        for step in range(60):
+            effects += core.tick(5.1 + step * 0.01)
+        self.assertEqual([], samples.list_forwards(effects))
+        flows = [samples.build_flow(port) for port in held]
+        self.assertEqual(flows, samples.list_resets(effects))
+
+    def test_it_wakes_up_for_those_that_wait(self):
+        core = build_core()
+        teach(core)
+        _, held, _ = press(core, 5.0, 40)
+        self.assertIsNotNone(core.link.find_due(5.0))
+        self.assertLessEqual(core.find_due(5.0), 5.0 + WAIT_SECONDS)
--- /dev/null
+++ b/skylarkfold/tests/room/test_bulk_gate.py
@@ -0,0 +1,351 @@
+"""Tests of what bulk is let in: uploads that press an instance's own link.
+
+Callers of uploads don't slow down on a full link, so a press of them makes
+everybody behind them late. The bounds are callers' aims: live requests want
+an answer within 453 ms, of which the link may take 100; uploads within
+1,345 ms, of which 40% may pass before they are let in; whoever is refused
+wants to know at once; and neither kind may shut out the other one.
+"""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from skylarkfold import room as rooms
+from skylarkfold.tests.room import link
+
+# 5 and 100 Mbit/s.
+SMALL = 625_000.0
+LARGE = 12_500_000.0
+MEAN_BYTES = 40_000
+MOST_BYTES = 240_000
+SIGMA = 0.7
+AIM_SECONDS = 1.345
+LIVE_DELAY_SECONDS = 0.1
+WAIT_SECONDS = 0.4 * AIM_SECONDS
+SECONDS = 10.0
+# A live packet each 10 ms: 6% of the small link.
+LIVE_EVERY = 0.01
+
+
+def draw_bytes(source):
+    """Draw the size of an upload."""
+    size = source.lognormvariate(0, SIGMA) * MEAN_BYTES * 0.783
+    return max(1, min(MOST_BYTES, int(size)))
+
+
+def play(rate, per_second, seed=1, live_every=LIVE_EVERY, **fields):
+    """Play uploads at random times beside live packets."""
+    source = random.Random(seed)
+    playing = link.Play(rate, **fields)
+    playing.at(0.0, playing.live, live_every, SECONDS)
+    playing.at(0.0, playing.tick, SECONDS)
+    now = 0.0
+    playing.offered = 0
+    while now < SECONDS:
+        playing.offered += 1
+        number = 100 + playing.offered
+        playing.at(now, playing.upload, number, draw_bytes(source))
+        now += source.expovariate(per_second)
+    playing.run(SECONDS)
+    return playing
+
+
+def compute_goodput(playing):
+    """Compute the share of the link that uploads which ended took."""
+    return (
+        sum(size for _, size, _ in playing.finished) / SECONDS / playing.rate
+    )
+
+
+class PressTest(testtools.TestCase):
+    def test_without_a_gate_everybody_is_late(self):
+        # Else the others would show nothing.
+        playing = play(SMALL, 25, is_gated=False)
+        delays = sorted(playing.delays)
+        self.assertGreater(delays[len(delays) // 2], 0.453)
+
+    def test_live_packets_wait_little_and_the_link_is_used(self):
+        for per_second in (16, 25, 64):
+            for seed in (1, 2, 3):
+                playing = play(SMALL, per_second, seed)
+                self.assertLess(max(playing.delays), LIVE_DELAY_SECONDS)
+                self.assertGreater(compute_goodput(playing), 0.6)
+
+    def test_what_is_let_in_stays_within_its_aim(self):
+        playing = play(SMALL, 25)
+        seconds = sorted(each for _, _, each in playing.finished)
+        late = sum(each > AIM_SECONDS for each in seconds)
+        self.assertLess(late / len(seconds), 0.02)
+
+    def test_what_is_on_its_way_stays_below_the_bound(self):
+        settings = rooms.RoomSettings()
+        playing = play(SMALL, 25)
+        bound = settings.queue_seconds * SMALL
+        self.assertLessEqual(playing.most_on_way, bound)
+
+    def test_most_that_are_refused_are_told_at_once(self):
+        playing = play(SMALL, 25)
+        waits = [each for _, each in playing.refused]
+        self.assertGreater(len(waits), 50)
+        at_once = sum(each < LIVE_DELAY_SECONDS for each in waits)
+        self.assertGreater(at_once / len(waits), 0.8)
+        # A tick and the way here beside the wait itself.
+        most = WAIT_SECONDS + LIVE_DELAY_SECONDS + 0.01
+        self.assertLess(max(waits), most)
+
+    def test_each_one_has_one_end(self):
+        playing = play(SMALL, 25)
+        finished = {number for number, _, _ in playing.finished}
+        refused = [number for number, _ in playing.refused]
+        self.assertEqual(len(refused), len(set(refused)))
+        self.assertEqual(set(), finished & set(refused))
+        ended = len(finished) + len(refused)
+        self.assertLess(playing.offered - ended, 20)
+
+    def test_a_link_with_room_refuses_nobody(self):
+        for rate, per_second in ((SMALL, 4), (LARGE, 16)):
+            playing = play(rate, per_second)
+            self.assertEqual([], playing.refused)
+
+    def test_on_a_wide_link_uploads_are_not_bulk(self):
+        playing = play(LARGE, 16)
+        self.assertEqual(0, playing.most_on_way)
+
+    def test_a_press_on_a_wide_link_of_what_is_bulk_there(self):
+        settings = rooms.RoomSettings(bulk_seconds=0.001)
+        playing = play(LARGE, 320, settings=settings)
+        self.assertLess(max(playing.delays), LIVE_DELAY_SECONDS)
+        self.assertGreater(compute_goodput(playing), 0.6)
+
+    def test_after_a_restart_the_first_ones_teach(self):
+        # Before a size is known all are let in: as many as come within the
+        # time of one upload.
+        playing = play(SMALL, 64)
+        early = playing.delays[: int(1.0 / LIVE_EVERY)]
+        self.assertLess(max(early), LIVE_DELAY_SECONDS)
+
+
+class BothWaysTest(testtools.TestCase):
+    def test_live_kinds_go_first(self):
+        # 360 bytes a millisecond: 58% of the link; 80% may be full in all.
+        playing = play(SMALL, 16, live_every=0.001)
+        delays = sorted(playing.delays)
+        self.assertLess(delays[int(0.9 * len(delays))], LIVE_DELAY_SECONDS)
+
+    def test_however_long_they_press_bulk_has_its_least_share(self):
+        playing = play(SMALL, 16, live_every=0.0006)
+        least = rooms.RoomSettings().bulk_least_share
+        opened = sum(playing.opened) / SECONDS / SMALL
+        self.assertGreater(opened, 0.8 * least)
+
+    def test_and_no_more_than_that(self):
+        # Live kinds fill 82% of the link: beside the least share there is
+        # room for them, and their queue does not grow.
+        playing = play(SMALL, 25, live_every=0.0007)
+        last = playing.delays[-len(playing.delays) // 4 :]
+        self.assertLess(max(last), 0.453)
+
+
+class GateTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.settings = rooms.RoomSettings()
+        self.room = rooms.InstanceRoom(self.settings, SMALL)
+        self.gate = rooms.BulkGate(self.settings, self.room)
+
+    def bring(self, number, now=0.0, size=MEAN_BYTES, address=link.BULK):
+        """Bring an upload from its first packet to its answer."""
+        sequence = 0
+        while sequence < size:
+            length = min(1200, size - sequence)
+            packet = link.Packet(number, length, sequence, address=address)
+            self.gate.take_packet(now, packet, packet.address, sequence == 0)
+            sequence += length
+        answered = link.Packet(number, acknowledged=9, address=address)
+        self.gate.take_packet(now, answered, answered.address, False)
+
+    def teach(self, size=MEAN_BYTES):
+        for number in range(3):
+            self.bring(number, 0.0, size)
+        # What that took of the link is paid for.
+        self.assertIsNone(self.judge(9, 0.0 + 2.0))
+
+    def judge(self, number, now, copies=0, aim=AIM_SECONDS):
+        packet = link.Packet(number, acknowledged=copies)
+        return self.gate.judge(now, packet, aim)
+
+    def begin(self, number, now):
+        self.gate.begin(now, link.Packet(number))
+
+    def fill(self, now):
+        """Let in as much as there is room for; the next one waits."""
+        number = 100
+        while self.judge(number, now) is None:
+            self.begin(number, now)
+            number += 1
+        return number
+
+    def test_small_requests_are_never_held(self):
+        for number in range(3):
+            self.bring(number, 0.0, 300)
+        for number in range(1000):
+            self.assertIsNone(self.judge(10 + number, 0.0))
+            self.begin(10 + number, 0.0)
+        self.assertEqual(0, self.gate.transfers.on_way)
+
+    def test_many_small_requests_on_one_flow_are_not_bulk(self):
+        for number in range(1000):
+            now = number * 1.0
+            request = link.Packet(1, 300, number * 300, acknowledged=number)
+            self.gate.take_packet(now, request, request.address, True)
+        self.assertIsNone(self.judge(2, 1000.0))
+        self.assertIsNone(self.gate.transfers.find_bulk(link.BULK))
+
+    def test_one_large_request_does_not_make_a_route_bulk(self):
+        self.bring(1, 0.0, MEAN_BYTES)
+        for number in range(2, 200):
+            self.bring(number, number * 1.0, 300)
+        self.assertIsNone(self.gate.transfers.find_bulk(link.BULK))
+
+    def test_a_copy_of_one_that_waits_counts_once(self):
+        self.teach()
+        number = self.fill(2.0)
+        self.assertEqual(1, self.gate.waiting_count)
+        again = self.judge(number, 2.2, copies=1)
+        self.assertEqual('repeated', again.outcome)
+        self.assertEqual(1, self.gate.waiting_count)
+
+    def test_a_copy_may_wait_only_for_what_is_left_to_its_caller(self):
+        self.teach()
+        self.fill(2.0)
+        self.gate.pop_late(9.0)
+        limits = [
+            self.judge(500 + copies, 2.0, copies).limit_seconds
+            for copies in (0, 1)
+        ]
+        self.assertAlmostEqual(WAIT_SECONDS, limits[0])
+        self.assertAlmostEqual(WAIT_SECONDS - 0.2, limits[1])
+
+    def test_one_opened_elsewhere_waits_no_more(self):
+        self.teach()
+        number = self.fill(2.0)
+        self.assertEqual(1, self.gate.waiting_count)
+        packet = link.Packet(number, 1200, 5)
+        self.gate.take_packet(2.1, packet, packet.address, False)
+        self.assertEqual(0, self.gate.waiting_count)
+        self.assertFalse(self.gate.is_waiting(packet.flow))
+
+    def test_they_are_let_in_in_the_order_in_which_they_came(self):
+        self.teach()
+        number = self.fill(2.0)
+        came = [number] + [
+            each
+            for each in range(number + 1, number + 4)
+            if self.judge(each, 2.0 + each / 1000).outcome == 'waits'
+        ]
+        self.assertGreater(len(came), 1)
+        let_in = []
+        now = 2.0
+        while self.gate.waiting_count and now < 9.0:
+            now += 0.01
+            while (waiter := self.gate.pop_ready(now)) is not None:
+                let_in.append(waiter.packet.flow)
+                self.gate.begin(now, waiter.packet)
+        flows = [link.Packet(each).flow for each in came]
+        self.assertEqual(flows, let_in)
+
+    def test_a_transfer_that_stops_holds_its_bytes_no_more(self):
+        self.teach()
+        last = self.fill(2.0)
+        for number in range(100, last):
+            # Some data has come, then nothing.
+            packet = link.Packet(number, 1200, 0, acknowledged=7)
+            self.gate.take_packet(2.0, packet, packet.address, True)
+        self.assertGreater(self.gate.transfers.on_way, 0)
+        self.gate.pop_ready(2.2)
+        self.assertEqual(0, self.gate.transfers.on_way)
+        self.gate.pop_ready(3.1)
+        self.assertEqual(0, len(self.gate.transfers))
+
+    def test_one_that_never_opens_holds_its_bytes_no_more(self):
+        self.teach()
+        self.fill(2.0)
+        self.gate.pop_late(9.0)
+        self.gate.pop_ready(2.9)
+        self.assertGreater(self.gate.transfers.on_way, 0)
+        self.gate.pop_ready(3.1)
+        self.assertEqual(0, self.gate.transfers.on_way)
+
+    def test_it_says_when_the_next_one_may_be_let_in(self):
+        self.teach()
+        self.assertIsNone(self.gate.find_due(2.0))
+        self.fill(2.0)
+        now, steps = 2.0, 0
+        while self.gate.waiting_count:
+            due = self.gate.find_due(now)
+            self.assertGreaterEqual(due, now)
+            now, steps = max(due, now + 0.001), steps + 1
+            if self.gate.pop_ready(now) is None:
+                self.gate.pop_late(now)
+            self.assertLess(steps, 100)
+        self.assertLessEqual(now, 2.0 + WAIT_SECONDS + 0.01)
+
+    def test_the_room_for_those_that_wait_is_bounded(self):
+        self.settings.wait_limit = 2
+        self.settings.wait_share = 100.0
+        self.settings.wait_seconds = 100.0
+        self.teach()
+        first = self.fill(2.0)
+        outcomes = [self.judge(first + each, 2.0) for each in (1, 2)]
+        self.assertEqual(
+            ['waits', 'refused'], [each.outcome for each in outcomes]
+        )
+
+    def test_a_route_that_is_gone_is_forgotten(self):
+        self.teach()
+        self.assertIsNotNone(self.gate.transfers.find_bulk(link.BULK))
+        self.gate.keep_routes({link.LIVE})
+        self.assertIsNone(self.gate.transfers.find_bulk(link.BULK))
+
+    def test_one_upload_larger_than_the_queue_is_let_in_alone(self):
+        self.teach(MOST_BYTES * 4)
+        self.begin(9, 2.0)
+        self.assertIsNotNone(self.judge(10, 2.0))
+        self.gate.pop_late(9.0)
+        self.assertIsNone(self.judge(11, 9.0))
+
+    @hypothesis.given(
+        shares=strategies.tuples(
+            *[strategies.sampled_from((0.0, 1e-6, 0.3, 1.0, 1e6))] * 6
+        ),
+        window=strategies.sampled_from((0, 1, 19200, 10**8)),
+        limit=strategies.sampled_from((0, 1, 64)),
+        used=strategies.floats(0, 4),
+    )
+    def test_any_settings_give_an_answer(self, shares, window, limit, used):
+        names = (
+            'bulk_least_share bulk_seconds bulk_share queue_seconds'
+            ' wait_share wait_seconds'
+        )
+        settings = rooms.RoomSettings(
+            window_bytes=window,
+            wait_limit=limit,
+            **dict(zip(names.split(), shares, strict=True)),
+        )
+        self.room = rooms.InstanceRoom(settings, SMALL)
+        self.gate = rooms.BulkGate(settings, self.room)
+        self.room.note_traffic(0.0, int(used * SMALL), 0)
+        for number in range(3):
+            self.bring(number)
+        for number in range(10, 20):
+            verdict = self.judge(number, 0.0, number % 3, number % 2)
+            if verdict is None:
+                self.begin(number, 0.0)
+            elif verdict.outcome == verdict.WAITS:
+                self.assertIsNotNone(self.gate.find_due(0.0))
+        while self.gate.pop_late(1e12) is not None:
+            pass
+        self.assertEqual(0, self.gate.waiting_count)
