--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -275,8 +275,9 @@
         if standing is None:
             return self._refuse(packet, Reason.NO_UPSTREAM)
         expected = self._admission.estimate(now, route, standing)
-        waits = self.tally.histograms[_tally.WAIT_SECONDS]
-        waits.observe(expected.wait_seconds)
+        if not has_waited:
+            waits = self.tally.histograms[_tally.WAIT_SECONDS]
+            waits.observe(expected.wait_seconds)
         if not is_copy and self._admission.is_refused(route, expected, hashed):
             return self._refusals.refuse_crowded(
                 packet, self._routes.version, route, standing, expected
--- a/skylarkfold/affinity/_link.py
+++ b/skylarkfold/affinity/_link.py
@@ -73,7 +73,11 @@
             return None
         if verdict.outcome == verdict.WAITS:
             self._tally.count(_tally.HELD, Reason.LINK_FULL)
-            return []
+            details = _list_details(verdict)
+            reason = Reason.LINK_FULL
+            return [
+                _effect.Record('hold', reason, packet.flow, details=details)
+            ]
         if verdict.outcome == verdict.REPEATED:
             return self._drop(Reason.REPEATED)
         return self._refuse(packet, verdict, version)
@@ -162,21 +166,25 @@
         if packet.acknowledged:
             # Of a copy, another instance may have placed the first one.
             return self._drop(Reason.LINK_FULL)
-        details = {
-            'bytes': verdict.on_way,
-            'waiting': verdict.waiting,
-            'link_share': round(verdict.link_share, 2),
-            'wait_ms': _ending.to_ms(verdict.wait_seconds),
-            'limit_ms': _ending.to_ms(verdict.limit_seconds),
-        }
-        reason = Reason.LINK_FULL
-        return self._refusals.refuse(packet, reason, version, details)
+        return self._refusals.refuse(
+            packet, Reason.LINK_FULL, version, _list_details(verdict)
+        )
 
     def _drop(self, reason: str) -> list[object]:
         self._tally.count(_tally.DROPPED, reason)
         return [_effect.Drop(reason)]
 
 
+def _list_details(verdict: rooms.Verdict) -> dict[str, object]:
+    return {
+        'bytes': verdict.on_way,
+        'waiting': verdict.waiting,
+        'link_share': round(verdict.link_share, 2),
+        'wait_ms': _ending.to_ms(verdict.wait_seconds),
+        'limit_ms': _ending.to_ms(verdict.limit_seconds),
+    }
+
+
 def build_gate(
     room: rooms.InstanceRoom | None,
     refusals: _refusal.Refusals,
--- a/skylarkfold/room/_transfer.py
+++ b/skylarkfold/room/_transfer.py
@@ -68,8 +68,7 @@
 
         :param brought: bytes.
         """
-        # It needs no more than to tell the first ones.
-        self._count = min(self._count + 1, _MODULUS)
+        self._count += 1
         step = max(_STEP, 1 / self._count)
         self.mean += step * (brought - self.mean)
         if self.is_known:
--- a/skylarkfold/tests/affinity/test_link.py
+++ b/skylarkfold/tests/affinity/test_link.py
@@ -112,6 +112,16 @@
         self.assertGreater(details['waiting'], 0)
         self.assertIn('link_share', details)
 
+    def test_the_line_of_one_that_waits_says_for_how_long(self):
+        core = build_core()
+        teach(core)
+        _, held, _ = press(core, 5.0, 2)
+        effects = core.take_packet(5.0, samples.build_first(2000))
+        (record,) = effects
+        self.assertEqual(('hold', 'link-full'), (record.kind, record.reason))
+        self.assertEqual(len(held), record.details['waiting'])
+        self.assertGreater(record.details['wait_ms'], 0)
+
     def test_those_that_wait_are_let_in_as_transfers_end(self):
         core = build_core()
         teach(core)
@@ -224,6 +234,15 @@
         flows = [samples.build_flow(port) for port in held]
         self.assertEqual(flows, samples.list_resets(effects))
 
+    def test_what_opens_says_how_much_gets_lost_here(self):
+        core = build_core()
+        for _ in range(5):
+            core.room.note_probe(0.0, False)
+        before = core.room.compute_loss_share(0.0)
+        core.take_packet(0.0, samples.build_first(1))
+        core.take_packet(0.0, samples.build_packet(1, 1))
+        self.assertLess(core.room.compute_loss_share(0.0), before)
+
     def test_it_wakes_up_for_those_that_wait(self):
         core = build_core()
         teach(core)
--- a/skylarkfold/tests/forwarder/test_own.py
+++ b/skylarkfold/tests/forwarder/test_own.py
@@ -32,6 +32,14 @@
         self.assertEqual(0.1, own.affinity.near_tolerance)
         self.assertEqual(2, own.relay.watchers)
 
+    def test_what_bulk_may_take_of_a_link_is_read(self):
+        own = self.parse('{"room": {"bulk_share": 0.5, "wait_limit": 8}}')
+        self.assertEqual(0.5, own.room.bulk_share)
+        self.assertEqual(8, own.room.wait_limit)
+        self.assertEqual(0.1, own.room.bulk_least_share)
+        error = self.complain('{"room": {"wait_limit": 0.5}}')
+        self.assertIn('$.room.wait_limit', str(error))
+
     def complain(self, text):
         return self.assertRaises(errors.SettingsError, self.parse, text)
 
