Duplicates: one place for what stood twice

Where the same decision stood in two places, a change of one would have missed the other:

- requests: a refusal with the advice when to come back is Context.refuse (three copies); a claim's release is read by Register.take_release (the claimant's and the voter's); a vote is made in one place.
- stored: PlatformAnswer.find_object, which store and teams each had.
- load: callers of flows and of streams get a Path, not four arguments each.
- soak: restarts and evacuations are drawn by _draw_steps.

Ruled out as alike in shape only: the registrations of distribution/_core and membership/_core, the constructors and listen of edge/_requests and edge/_stream, drain and undrain of the command line, whose help is their docstring.

--- a/skylarkfold/load/_caller.py
+++ b/skylarkfold/load/_caller.py
@@ -19,6 +19,7 @@
 from skylarkfold.load import _fabric
 from skylarkfold.load import _flow_caller
 from skylarkfold.load import _latency
+from skylarkfold.load import _path
 from skylarkfold.load import _request_caller
 from skylarkfold.load import _result
 from skylarkfold.load import _stream_caller
@@ -55,17 +56,11 @@
 
     @_make_caller.register
     def _(self, traffic: _traffic.Datagrams) -> AnyCaller:
-        ports = self._plan.services[traffic.service]
-        return _flow_caller.FlowCaller(
-            traffic, ports.port, self._plan.host, self._fabric, self._latency
-        )
+        return _flow_caller.FlowCaller(traffic, self._find_path(traffic))
 
     @_make_caller.register
     def _(self, traffic: _traffic.Streams) -> AnyCaller:
-        ports = self._plan.services[traffic.service]
-        return _stream_caller.StreamCaller(
-            traffic, ports.port, self._plan.host, self._fabric, self._latency
-        )
+        return _stream_caller.StreamCaller(traffic, self._find_path(traffic))
 
     @_make_caller.register
     def _(self, traffic: _traffic.Requests) -> AnyCaller:
@@ -78,6 +73,12 @@
             self._session,
         )
 
+    def _find_path(
+        self, traffic: _traffic.Datagrams | _traffic.Streams
+    ) -> _path.Path:
+        port = self._plan.services[traffic.service].port
+        return _path.Path(port, self._plan.host, self._fabric, self._latency)
+
     def start(self) -> None:
         """Begin the traffic."""
         self._tasks = [
--- a/skylarkfold/load/_flow_caller.py
+++ b/skylarkfold/load/_flow_caller.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from skylarkfold.load import _fabric
 from skylarkfold.load import _latency
+from skylarkfold.load import _path
 from skylarkfold.load import _result
 from skylarkfold.load import _traffic
 from skylarkfold import standin
@@ -102,25 +102,12 @@
     """Holds the flows of one kind of traffic.
 
     :param traffic: what to make.
-    :param port: the service's port on every instance.
-    :param host: the address that the flows come from.
-    :param fabric: what chooses an instance for each packet.
-    :param latency: where latencies are recorded.
+    :param path: where they come from and go to.
     """
 
-    def __init__(
-        self,
-        traffic: _traffic.Datagrams,
-        port: int,
-        host: str,
-        fabric: _fabric.Fabric,
-        latency: _latency.LatencyRecorder,
-    ) -> None:
+    def __init__(self, traffic: _traffic.Datagrams, path: _path.Path) -> None:
         self._traffic = traffic
-        self._port = port
-        self._host = host
-        self._fabric = fabric
-        self._latency = latency
+        self._path = path
         self._started = 0
         self.results: list[_result.FlowResult] = []
 
@@ -144,7 +131,7 @@
         due = time.monotonic()
         try:
             while due < ends:
-                flow.send((self._fabric.choose(), self._port))
+                flow.send((self._path.fabric.choose(), self._path.port))
                 due += self._traffic.interval_seconds
                 await asyncio.sleep(max(0.0, due - time.monotonic()))
         finally:
@@ -155,8 +142,8 @@
         self._started += 1
         number = self._started
         _, flow = await loop.create_datagram_endpoint(
-            lambda: Flow(number, self._traffic, self._latency),
-            local_addr=(self._host, 0),
+            lambda: Flow(number, self._traffic, self._path.latency),
+            local_addr=(self._path.host, 0),
         )
         self.results.append(flow.result)
         return flow
--- a/skylarkfold/load/_stream_caller.py
+++ b/skylarkfold/load/_stream_caller.py
@@ -5,8 +5,7 @@
 import asyncio
 import time
 
-from skylarkfold.load import _fabric
-from skylarkfold.load import _latency
+from skylarkfold.load import _path
 from skylarkfold.load import _result
 from skylarkfold.load import _traffic
 
@@ -17,25 +16,12 @@
     """Holds the streams of one kind of traffic.
 
     :param traffic: what to make.
-    :param port: the service's port on every instance.
-    :param host: the address that the streams come from.
-    :param fabric: what chooses an instance for each stream.
-    :param latency: where latencies are recorded.
+    :param path: where they come from and go to.
     """
 
-    def __init__(
-        self,
-        traffic: _traffic.Streams,
-        port: int,
-        host: str,
-        fabric: _fabric.Fabric,
-        latency: _latency.LatencyRecorder,
-    ) -> None:
+    def __init__(self, traffic: _traffic.Streams, path: _path.Path) -> None:
         self._traffic = traffic
-        self._port = port
-        self._host = host
-        self._fabric = fabric
-        self._latency = latency
+        self._path = path
         self.results: list[_result.StreamResult] = []
 
     async def run(self) -> None:
@@ -48,7 +34,9 @@
 
     async def _hold(self) -> None:
         result = _result.StreamResult(
-            self._traffic.name, self._traffic.service, self._fabric.choose()
+            self._traffic.name,
+            self._traffic.service,
+            self._path.fabric.choose(),
         )
         self.results.append(result)
         try:
@@ -59,7 +47,7 @@
 
     async def _talk(self, result: _result.StreamResult) -> None:
         reader, writer = await asyncio.open_connection(
-            result.target, self._port, local_addr=(self._host, 0)
+            result.target, self._path.port, local_addr=(self._path.host, 0)
         )
         try:
             writer.write(b'begin\n')
@@ -94,7 +82,7 @@
         await writer.drain()
         await self._check_echo(reader, line)
         result.messages += 1
-        self._latency.record(self._traffic.name, time.monotonic() - sent)
+        self._path.latency.record(self._traffic.name, time.monotonic() - sent)
 
     async def _check_echo(
         self, reader: asyncio.StreamReader, line: bytes
--- a/skylarkfold/requests/_claimant.py
+++ b/skylarkfold/requests/_claimant.py
@@ -187,7 +187,7 @@
         sets = holders.list_sets(_holders.find_range(key))
         for name in dict.fromkeys(each.name for one in sets for each in one):
             if name == self._context.name:
-                self._release_own(released)
+                self._register.take_release(name, released)
             else:
                 self._context.send(name, released)
 
@@ -226,15 +226,6 @@
         )
         _count(record, (holder.name, holder.boot), ballot, rival)
 
-    def _release_own(self, released: _messages.ReleaseMessage) -> None:
-        successor = None
-        if released.successor:
-            successor = Owner(
-                released.successor, released.successor_boot, released.claim
-            )
-        owner = self._name_owner(released.claim)
-        self._register.release(released.key, owner, successor)
-
     def _name_owner(self, claim: int) -> Owner:
         return Owner(self._context.name, self._context.boot, claim)
 
--- a/skylarkfold/requests/_context.py
+++ b/skylarkfold/requests/_context.py
@@ -10,8 +10,10 @@
 from skylarkfold import instance as instance_module
 from skylarkfold import message as message_module
 from skylarkfold import request as request_module
+from skylarkfold.requests import _answers
 from skylarkfold.requests import _messages
 from skylarkfold.requests import _settings
+from skylarkfold import verdict as verdict_module
 
 _POSITIVE = (1 << 63) - 1
 _SCALE = 1 << 63
@@ -101,6 +103,20 @@
         )
         self.send(asker.peer, ended)
 
+    def refuse(
+        self, asker: Asker, verdict: verdict_module.Verdict, code: str
+    ) -> None:
+        """Send an answer without an upstream's to whoever waits for it.
+
+        :param asker: who asked.
+        :param verdict: whether the request may have run.
+        :param code: why.
+        """
+        answer = _answers.refuse(
+            verdict, code, self.settings.retry_after_seconds
+        )
+        self.reply(asker, answer)
+
     def reply_all(
         self, askers: dict[Asker, float], answer: request_module.Answer
     ) -> None:
--- a/skylarkfold/requests/_keys.py
+++ b/skylarkfold/requests/_keys.py
@@ -106,10 +106,10 @@
             self._join(record, fingerprint, asker, deadline)
             return
         if not self._claimant.is_ready:
-            self._refuse(asker, MAY_HAVE_RUN, Code.KEY_UNVERIFIED)
+            self._context.refuse(asker, MAY_HAVE_RUN, Code.KEY_UNVERIFIED)
             return
         if not self._memory.has_room(request):
-            self._refuse(asker, MAY_HAVE_RUN, Code.KEY_MEMORY_FULL)
+            self._context.refuse(asker, MAY_HAVE_RUN, Code.KEY_MEMORY_FULL)
             return
         record = _record.KeyRecord(key, fingerprint, request)
         record.askers[asker] = deadline
@@ -249,9 +249,9 @@
     ) -> None:
         if fingerprint != record.fingerprint:
             if record.standing is Standing.ENDED:
-                self._refuse(asker, NOT_RUN, Code.KEY_REUSED)
+                self._context.refuse(asker, NOT_RUN, Code.KEY_REUSED)
             else:
-                self._refuse(asker, MAY_HAVE_RUN, Code.KEY_IN_USE)
+                self._context.refuse(asker, MAY_HAVE_RUN, Code.KEY_IN_USE)
             return
         if record.standing is Standing.ENDED:
             self._context.count(metric.REQUESTS_REPLAYED)
@@ -272,7 +272,7 @@
         ]
         for asker in late:
             del record.askers[asker]
-            self._refuse(asker, MAY_HAVE_RUN, Code.DEADLINE_EXCEEDED)
+            self._context.refuse(asker, MAY_HAVE_RUN, Code.DEADLINE_EXCEEDED)
         if late:
             self._drop_unasked(now, record)
 
@@ -285,11 +285,3 @@
         self._claimant.abandon(now, record)
         self._passes.forget(record.pass_number)
         self._memory.drop(record)
-
-    def _refuse(
-        self, asker: _context.Asker, verdict: Verdict, code: Code
-    ) -> None:
-        answer = _answers.refuse(
-            verdict, code, self._settings.retry_after_seconds
-        )
-        self._context.reply(asker, answer)
--- a/skylarkfold/requests/_reception.py
+++ b/skylarkfold/requests/_reception.py
@@ -85,7 +85,7 @@
         deadline = now + self._limit_timeout(request)
         is_keyed = bool(request.key) and not request.idempotent
         if is_keyed and now < self._woken_until:
-            self._refuse(asker, Verdict.MAY_HAVE_RUN, Code.PAUSED)
+            self._context.refuse(asker, Verdict.MAY_HAVE_RUN, Code.PAUSED)
         elif self._stop.is_begun:
             self._stop.turn_away(now, request, asker, deadline)
         elif is_keyed:
@@ -126,7 +126,7 @@
         elif passed.kind is PassKind.RECEIVE:
             self.receive(now, request, asker)
         elif self._stop.is_begun:
-            self._refuse(asker, Verdict.NOT_RUN, Code.STOPPING)
+            self._context.refuse(asker, Verdict.NOT_RUN, Code.STOPPING)
         else:
             deadline = now + self._limit_timeout(request)
             self._run(now, request, asker, deadline)
@@ -174,10 +174,3 @@
             request.timeout_seconds,
             self._context.settings.maximum_timeout_seconds,
         )
-
-    def _refuse(
-        self, asker: _context.Asker, verdict: Verdict, code: Code
-    ) -> None:
-        retry_after_seconds = self._context.settings.retry_after_seconds
-        answer = _answers.refuse(verdict, code, retry_after_seconds)
-        self._context.reply(asker, answer)
--- a/skylarkfold/requests/_register.py
+++ b/skylarkfold/requests/_register.py
@@ -108,6 +108,22 @@
         else:
             record.owner = successor
 
+    def take_release(
+        self, claimant: str, released: _messages.ReleaseMessage
+    ) -> None:
+        """Take a vote back, or move it, at the word of its claimant.
+
+        :param claimant: the instance that made the claim.
+        :param released: the claim, and who follows it.
+        """
+        owner = Owner(claimant, released.boot, released.claim)
+        successor = None
+        if released.successor:
+            successor = Owner(
+                released.successor, released.successor_boot, released.claim
+            )
+        self.release(released.key, owner, successor)
+
     def list_votes(
         self, ranges: frozenset[int]
     ) -> Iterator[tuple[bytes, Owner]]:
--- a/skylarkfold/requests/_stop.py
+++ b/skylarkfold/requests/_stop.py
@@ -90,11 +90,11 @@
         :param deadline: until when, by the local clock.
         """
         if not request.key or request.idempotent:
-            self._refuse(asker, Verdict.NOT_RUN)
+            self._context.refuse(asker, Verdict.NOT_RUN, Code.STOPPING)
             return
         successor = self._find_successor()
         if asker.peer or successor is None:
-            self._refuse(asker, Verdict.MAY_HAVE_RUN)
+            self._context.refuse(asker, Verdict.MAY_HAVE_RUN, Code.STOPPING)
             return
         passed = _passes.Pass(
             peer=successor.name,
@@ -146,7 +146,7 @@
         if answer is not None and _answers.is_lasting(answer):
             self._context.reply(asker, answer)
         else:
-            self._refuse(asker, Verdict.MAY_HAVE_RUN)
+            self._context.refuse(asker, Verdict.MAY_HAVE_RUN, Code.STOPPING)
 
     def _find_successor(self) -> _holders.Holder | None:
         holders = self._succession.holders
@@ -166,8 +166,3 @@
         is_other = name in self._context.reachable
         alive = member_module.MemberState.ALIVE
         return is_other and member is not None and member.state is alive
-
-    def _refuse(self, asker: _context.Asker, verdict: Verdict) -> None:
-        retry_after_seconds = self._context.settings.retry_after_seconds
-        answer = _answers.refuse(verdict, Code.STOPPING, retry_after_seconds)
-        self._context.reply(asker, answer)
--- a/skylarkfold/requests/_voter.py
+++ b/skylarkfold/requests/_voter.py
@@ -47,24 +47,17 @@
         ballot, owner = self._register.vote(
             now, claim.label, claim.key, claimant
         )
+        rival = owner if ballot is Ballot.TAKEN else _register.UNKNOWN
         vote = _messages.VoteMessage(
             label=claim.label,
             target_boot=claim.boot,
             claim=claim.claim,
             boot=self._context.boot,
             ballot=ballot,
+            owner=rival.name,
+            owner_boot=rival.boot,
+            owner_claim=rival.claim,
         )
-        if ballot is Ballot.TAKEN:
-            vote = _messages.VoteMessage(
-                label=claim.label,
-                target_boot=claim.boot,
-                claim=claim.claim,
-                boot=self._context.boot,
-                ballot=ballot,
-                owner=owner.name,
-                owner_boot=owner.boot,
-                owner_claim=owner.claim,
-            )
         self._tell_holders(sender, claim.label)
         self._context.send(sender, vote)
 
@@ -77,13 +70,7 @@
         :param sender: the claimant.
         :param released: the claim, and who follows it.
         """
-        owner = _register.Owner(sender, released.boot, released.claim)
-        successor = None
-        if released.successor:
-            successor = _register.Owner(
-                released.successor, released.successor_boot, released.claim
-            )
-        self._register.release(released.key, owner, successor)
+        self._register.take_release(sender, released)
 
     def _tell_holders(self, sender: str, label: int) -> None:
         holders = self._get_holders()
--- a/skylarkfold/soak/_plan.py
+++ b/skylarkfold/soak/_plan.py
@@ -86,17 +86,13 @@
     :param seconds: how long traffic lasts.
     :returns: steps in order.
     """
-    generator = random.Random(f'{seed}/restarts')
-    steps = [
-        Step(
-            generator.uniform(1.0, 0.6 * seconds),
-            generator.choice(RESTARTS),
-            generator.uniform(0.5, 3.0),
-            1.0,
-        )
-        for _ in range(generator.randint(2, 5))
-    ]
-    return sorted(steps, key=lambda step: step.at)
+    return _draw_steps(
+        random.Random(f'{seed}/restarts'),
+        RESTARTS,
+        counts=(2, 5),
+        begins=(1.0, 0.6 * seconds),
+        lengths=(0.5, 3.0),
+    )
 
 
 def draw_evacuations(seed: int, seconds: float) -> list[Step]:
@@ -106,17 +102,14 @@
     :param seconds: how long traffic lasts.
     :returns: steps in order.
     """
-    generator = random.Random(f'{seed}/evacuations')
-    steps = [
-        Step(
-            generator.uniform(0.5, 0.3 * seconds),
-            generator.choice(EVACUATIONS),
-            generator.uniform(0.2 * seconds, 0.5 * seconds),
-            generator.choice((0.4, 0.7)),
-        )
-        for _ in range(generator.randint(1, 3))
-    ]
-    return sorted(steps, key=lambda step: step.at)
+    return _draw_steps(
+        random.Random(f'{seed}/evacuations'),
+        EVACUATIONS,
+        counts=(1, 3),
+        begins=(0.5, 0.3 * seconds),
+        lengths=(0.2 * seconds, 0.5 * seconds),
+        shares=(0.4, 0.7),
+    )
 
 
 def draw_returns(seed: int, seconds: float) -> list[Step]:
@@ -164,3 +157,24 @@
             again = min(at + generator.uniform(0.1, 3.0), 0.7 * seconds)
             steps.append(Step(again, kind, step.seconds, step.share))
     return sorted(steps, key=lambda step: step.at)
+
+
+def _draw_steps(
+    generator: random.Random,
+    kinds: tuple[str, ...],
+    counts: tuple[int, int],
+    begins: tuple[float, float],
+    lengths: tuple[float, float],
+    shares: tuple[float, ...] = (),
+) -> list[Step]:
+    """Draw steps within bounds; without shares each takes all that fits."""
+    steps = [
+        Step(
+            generator.uniform(*begins),
+            generator.choice(kinds),
+            generator.uniform(*lengths),
+            generator.choice(shares) if shares else 1.0,
+        )
+        for _ in range(generator.randint(*counts))
+    ]
+    return sorted(steps, key=lambda step: step.at)
--- a/skylarkfold/store/_core.py
+++ b/skylarkfold/store/_core.py
@@ -141,7 +141,7 @@
             return self._take_failure(pending, answer, now)
         self._backoff.note_success()
         if pending.must_read:
-            current = _find_object(pending.write.path, answer)
+            current = answer.find_object(pending.write.path)
             return self._take_read(pending, current, now)
         return self._take_written(pending, answer, now)
 
@@ -171,7 +171,7 @@
             return self._end(pending, _Status.OK)
         pending.was_refused = True
         if not pending.answer_lost:
-            pending.current = _find_object(pending.write.path, answer)
+            pending.current = answer.find_object(pending.write.path)
             return self._end(pending, _Status.CONFLICT)
         pending.must_read = True
         return []
@@ -304,15 +304,6 @@
         ]
 
 
-def _find_object(
-    path: str, answer: stored.PlatformAnswer
-) -> stored.StoredObject | None:
-    for each in answer.objects:
-        if each.path == path and each.value is not None:
-            return each
-    return None
-
-
 def _find_written(
     write: stored.WriteObject, answer: stored.PlatformAnswer
 ) -> stored.StoredObject | None:
--- a/skylarkfold/stored.py
+++ b/skylarkfold/stored.py
@@ -119,3 +119,14 @@
     objects: tuple[StoredObject, ...] = ()
     revision: int = 0
     instances: tuple[ListedInstance, ...] = ()
+
+    def find_object(self, path: str) -> StoredObject | None:
+        """Find an object that exists among those of the answer.
+
+        :param path: the object.
+        :returns: it; None where it is not there or was deleted.
+        """
+        for each in self.objects:
+            if each.path == path and each.value is not None:
+                return each
+        return None
--- a/skylarkfold/teams/_session.py
+++ b/skylarkfold/teams/_session.py
@@ -141,7 +141,7 @@
         for number in self.count_tries():
             answer = yield stored.ReadObject(path)
             if answer.status in (_Status.OK, _Status.NOT_FOUND):
-                found = _find_object(path, answer)
+                found = answer.find_object(path)
                 if self._follow(answer) and self._take_version(path, found):
                     return found
             yield self.pause(number)
@@ -196,7 +196,7 @@
             return None
         if not self._follow(answer):
             return None
-        current = _find_object(write.path, answer)
+        current = answer.find_object(write.path)
         finding = store.judge_read(write, current, was_refused)
         if finding not in _OUTCOMES:
             return None
@@ -239,12 +239,3 @@
             self._take_version(path, each)
         self._revision = answer.revision
         return True
-
-
-def _find_object(
-    path: str, answer: stored.PlatformAnswer
-) -> stored.StoredObject | None:
-    for each in answer.objects:
-        if each.path == path and each.value is not None:
-            return each
-    return None
