Shares: max-min fair shares over callers, the decisions

Need: one caller that asks for more than its share takes room from all others. Change: a package of decisions: space-saving counts with decay, words of peers, max-min levels within the routes' preference, refusal by the flow's hash. Ruled out: refusing by one instance's count alone, which at 64 instances is of a few flows a second; sums over a ring, which count some instances twice: a mean of unbiased samples does not.

--- /dev/null
+++ b/skylarkfold/shares/_callers.py
@@ -0,0 +1,267 @@
+"""The callers' shares on one instance."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import xxhash
+
+from skylarkfold.shares import _count
+from skylarkfold.shares import _settings
+from skylarkfold.shares import _share
+from skylarkfold.shares import _shortage
+from skylarkfold.shares import _view
+from skylarkfold.shares import _word
+
+_MOST_WORD_BYTES = 4096
+
+
+def digest_service(service: str) -> int:
+    """Compute what stands for a service in words.
+
+    :param service: its name.
+    :returns: 32 bits.
+    """
+    return xxhash.xxh32_intdigest(service.encode())
+
+
+class CallerShares:
+    """Counts what callers ask for and tells who asks for too much.
+
+    Services are named by :func:`digest_service`; demand is in slots, as the
+    slot seconds that are asked for in a second.
+
+    :param settings: whether and how shares are kept.
+    """
+
+    __slots__ = (
+        '_counts',
+        '_fleet',
+        '_judged',
+        '_settings',
+        '_shares',
+        '_words',
+        'word',
+        'zone_word',
+    )
+
+    def __init__(self, settings: _settings.SharesSettings) -> None:
+        self._settings = settings
+        self._counts = _count.CallerCounts(
+            settings.callers, settings.window_seconds
+        )
+        self._words = _view.PeerWords(settings.word_seconds)
+        self._fleet = _view.Fleet(0, 1)
+        # Of services that are short of room.
+        self._shares: dict[int, dict[int, _shortage.KindShares]] = {}
+        self._judged: dict[
+            tuple[_count.Kind, bytes], _share.OverShare | None
+        ] = {}
+        self.word = b''
+        self.zone_word = b''
+
+    def set_settings(self, settings: _settings.SharesSettings) -> None:
+        """Put other weights and caps in force; what was counted stays.
+
+        :param settings: the settings.
+        """
+        self._settings = settings
+        self._judged.clear()
+
+    def note(
+        self,
+        now: float,
+        service: int,
+        priority: int,
+        caller: bytes,
+        slot_seconds: float,
+        is_new: bool = True,
+    ) -> None:
+        """Count a request, whether it is refused or not.
+
+        :param now: the time.
+        :param service: its service.
+        :param priority: of its route.
+        :param caller: the caller's packed address.
+        :param slot_seconds: how long such a request takes a slot.
+        :param is_new: whether it opens a flow.
+        """
+        kind = (service, priority)
+        self._counts.note(now, kind, caller, slot_seconds, is_new)
+
+    def judge(
+        self, now: float, service: int, priority: int, caller: bytes
+    ) -> _share.OverShare | None:
+        """Tell whether a caller is above its share.
+
+        :param now: the time.
+        :param service: the service that it wants.
+        :param priority: of the route that it uses.
+        :param caller: its packed address.
+        :returns: the figures; None for one that may have what it wants.
+        """
+        shares = self._shares.get(service)
+        if shares is None or priority not in shares:
+            return None
+        kind = (service, priority)
+        key = (kind, caller)
+        if key not in self._judged:
+            opening = self._counts.measure_opening(kind, caller)
+            if len(self._judged) >= self._settings.callers:
+                self._judged.clear()
+            self._judged[key] = shares[priority].judge(now, caller, opening)
+        return self._judged[key]
+
+    def take_word(
+        self,
+        now: float,
+        source: str,
+        is_zone: bool,
+        age_seconds: float,
+        data: bytes,
+    ) -> bool:
+        """Take what a peer tells.
+
+        :param now: the time.
+        :param source: the neighbour, or the zone whose sum it is.
+        :param is_zone: which of them.
+        :param age_seconds: how long ago it was said.
+        :param data: the word.
+        :returns: whether it can be true; any other is left out.
+        """
+        if not 0.0 <= age_seconds or len(data) > _MOST_WORD_BYTES:
+            return False
+        word = _word.unpack(data)
+        if word is None:
+            return False
+        if age_seconds <= self._settings.word_seconds:
+            self._words.take(now - age_seconds, source, is_zone, word)
+        return True
+
+    def list_services(self) -> set[int]:
+        """List the services that are asked for, here or at peers."""
+        kinds = {*self._counts.list_kinds(), *self._words.list_kinds()}
+        return {service for service, _ in kinds}
+
+    def refresh(
+        self, now: float, slots: Mapping[int, float], fleet: _view.Fleet
+    ) -> None:
+        """Work out the shares and what peers are told.
+
+        :param now: the time; several times a second.
+        :param slots: of the services that are asked for; one that has none
+            is not kept to shares.
+        :param fleet: how many instances there are.
+        """
+        self._counts.expire(now)
+        self._words.expire(now)
+        self._fleet = fleet
+        self._shares.clear()
+        self._judged.clear()
+        word: _word.Word = {}
+        zone_word: _word.Word = {}
+        for service, views in self._list_views(now, fleet).items():
+            room = slots.get(service, 0.0)
+            if room <= 0.0:
+                continue
+            shares = _shortage.divide(views, room, self._settings)
+            demand = sum(view.all.total for view in views.values())
+            if demand > self._settings.short_share * room:
+                self._shares[service] = shares
+            if self._must_tell(demand, room, views):
+                self._tell(service, shares, word, zone_word)
+        self.word = _word.pack(word) if word and fleet.mates else b''
+        is_far = fleet.instances > 1 + fleet.mates
+        self.zone_word = _word.pack(zone_word) if zone_word and is_far else b''
+
+    def list_gauges(self) -> dict[str, float]:
+        """List what is known now.
+
+        :returns: values by name: how many callers are counted, services that
+            are short of room, and the demand and share, in slots, of the
+            caller that asks for most of one of these.
+        """
+        demand = share = 0.0
+        for shares in self._shares.values():
+            for each in shares.values():
+                callers = each.view.all.callers
+                heaviest = max(callers, key=callers.get, default=None)
+                if heaviest is not None and callers[heaviest] > demand:
+                    demand = callers[heaviest]
+                    share = min(demand, each.compute_share(heaviest))
+        return {
+            'callers_counted': float(len(self._counts)),
+            'services_short': float(len(self._shares)),
+            'heaviest_caller_demand_slots': demand,
+            'heaviest_caller_share_slots': share,
+        }
+
+    def _list_views(
+        self, now: float, fleet: _view.Fleet
+    ) -> dict[int, dict[int, _view.KindView]]:
+        kinds = {*self._counts.list_kinds(), *self._words.list_kinds()}
+        views: dict[int, dict[int, _view.KindView]] = {}
+        for kind in kinds:
+            slots, rate = self._counts.measure_kind(now, kind)
+            callers = self._counts.measure_callers(now, kind)
+            own = _word.Demand(slots, callers)
+            view = _view.KindView(own, rate, self._words, kind, fleet)
+            service, priority = kind
+            views.setdefault(service, {})[priority] = view
+        return views
+
+    def _must_tell(
+        self,
+        demand: float,
+        room: float,
+        views: Mapping[int, _view.KindView],
+    ) -> bool:
+        """Tell whether peers must know what is asked for here.
+
+        Before anything is heard, the other zones are taken to be like this
+        one; else nobody would begin.
+        """
+        if demand >= self._settings.joined_share * room:
+            return True
+        expected = sum(view.expect(self._fleet) for view in views.values())
+        return expected >= self._settings.short_share * room
+
+    def _tell(
+        self,
+        service: int,
+        shares: Mapping[int, _shortage.KindShares],
+        word: _word.Word,
+        zone_word: _word.Word,
+    ) -> None:
+        for priority, each in shares.items():
+            view = each.view
+            names = self._choose(each)
+            word[(service, priority)] = _word.Told(
+                len(view.own.callers),
+                _keep(view.own, names),
+                _keep(view.near, names),
+            )
+            zone_word[(service, priority)] = _word.Told(
+                view.zone_known, _keep(view.zone, names)
+            )
+
+    def _choose(self, shares: _shortage.KindShares) -> list[bytes]:
+        """Choose the callers that a word names, those near their share.
+
+        What the others ask for is told in total.
+        """
+        callers = shares.view.estimate_callers()
+        level = shares.level
+        if level == float('inf'):
+            level = shares.room / max(1, len(callers))
+        near = [name for name, slots in callers.items() if slots > level / 2]
+        near.sort(key=lambda name: (-callers[name], name))
+        return near[: min(self._settings.told_callers, _word.MOST_CALLERS)]
+
+
+def _keep(demand: _word.Demand, names: list[bytes]) -> _word.Demand:
+    callers = demand.callers
+    return _word.Demand(
+        demand.total,
+        {each: callers[each] for each in names if each in callers},
+    )
--- /dev/null
+++ b/skylarkfold/shares/_count.py
@@ -0,0 +1,183 @@
+"""What callers ask for at this instance, within bounded memory."""
+
+from __future__ import annotations
+
+import math
+
+# Of a service (by digest) the requests of one priority.
+Kind = tuple[int, int]
+
+# New counts are inflated in place of shrinking the old ones; before numbers
+# become too large for precision all are brought back.
+_MOST_EXPONENT = 64.0
+# What is left of a request after twelve time constants is none.
+_LEAST_SHARE = 6e-6
+
+
+class CallerCount:
+    """What one caller has asked for.
+
+    :ivar asked: slot seconds, inflated.
+    :ivar opened: those of new flows among them.
+    :ivar error: how much of ``asked`` may be of callers before it.
+    """
+
+    __slots__ = ('asked', 'error', 'opened')
+
+    def __init__(self, asked: float, error: float) -> None:
+        self.asked = asked
+        self.opened = 0.0
+        self.error = error
+
+
+class KindCount:
+    """What all callers have asked for of a kind.
+
+    :ivar asked: slot seconds, inflated.
+    :ivar requests: how many requests that were, inflated.
+    """
+
+    __slots__ = ('asked', 'requests')
+
+    def __init__(self) -> None:
+        self.asked = 0.0
+        self.requests = 0.0
+
+
+class CallerCounts:
+    """Space-saving counts of the heaviest callers, with decay.
+
+    One that is not counted takes the place of the least, with its count as
+    the possible error; what is certain of a caller is never too much.
+
+    :param limit: callers counted one by one, over all kinds.
+    :param window_seconds: time constant of the decay.
+    """
+
+    __slots__ = ('_begun_at', '_callers', '_kinds', '_limit', '_window')
+
+    def __init__(self, limit: int, window_seconds: float) -> None:
+        self._limit = max(1, limit)
+        self._window = window_seconds
+        self._begun_at: float | None = None
+        self._callers: dict[tuple[Kind, bytes], CallerCount] = {}
+        self._kinds: dict[Kind, KindCount] = {}
+
+    def __len__(self) -> int:
+        return len(self._callers)
+
+    def note(
+        self,
+        now: float,
+        kind: Kind,
+        caller: bytes,
+        slot_seconds: float,
+        is_new: bool,
+    ) -> None:
+        """Count a request.
+
+        :param now: the time.
+        :param kind: its service and priority.
+        :param caller: its caller.
+        :param slot_seconds: how long it takes a slot.
+        :param is_new: whether it opens a flow.
+        """
+        factor = self._inflate(now)
+        value = slot_seconds * factor
+        total = self._kinds.get(kind)
+        if total is None:
+            total = self._kinds[kind] = KindCount()
+        total.asked += value
+        total.requests += factor
+        known = self._callers.get((kind, caller))
+        if known is None:
+            known = self._add(kind, caller)
+        known.asked += value
+        if is_new:
+            known.opened += value
+
+    def expire(self, now: float) -> None:
+        """Forget what has decayed.
+
+        :param now: the time.
+        """
+        factor = self._inflate(now)
+        for kind, total in list(self._kinds.items()):
+            if total.requests < _LEAST_SHARE * factor:
+                del self._kinds[kind]
+        for key, known in list(self._callers.items()):
+            total = self._kinds.get(key[0])
+            if total is None or known.asked < _LEAST_SHARE * total.asked:
+                del self._callers[key]
+
+    def list_kinds(self) -> list[Kind]:
+        """List the kinds that are asked for."""
+        return list(self._kinds)
+
+    def measure_kind(self, now: float, kind: Kind) -> tuple[float, float]:
+        """Tell what is asked for of a kind.
+
+        :param now: the time.
+        :param kind: the kind.
+        :returns: slots, and requests a second.
+        """
+        total = self._kinds.get(kind)
+        if total is None:
+            return 0.0, 0.0
+        scale = self._inflate(now) * self._window
+        return total.asked / scale, total.requests / scale
+
+    def measure_callers(self, now: float, kind: Kind) -> dict[bytes, float]:
+        """Tell what is certain of each caller.
+
+        :param now: the time.
+        :param kind: the kind.
+        :returns: slots, by caller.
+        """
+        scale = self._inflate(now) * self._window
+        return {
+            caller: (known.asked - known.error) / scale
+            for (each, caller), known in self._callers.items()
+            if each == kind
+        }
+
+    def measure_opening(self, kind: Kind, caller: bytes) -> float:
+        """Tell which share of a caller's requests open a flow.
+
+        :param kind: the kind.
+        :param caller: the caller.
+        :returns: between 0 and 1.
+        """
+        known = self._callers.get((kind, caller))
+        if known is None or known.asked <= known.error:
+            return 1.0
+        return min(1.0, known.opened / (known.asked - known.error))
+
+    def _add(self, kind: Kind, caller: bytes) -> CallerCount:
+        error = 0.0
+        if len(self._callers) >= self._limit:
+            least = min(
+                self._callers, key=lambda key: self._callers[key].asked
+            )
+            error = self._callers.pop(least).asked
+        known = CallerCount(error, error)
+        self._callers[(kind, caller)] = known
+        return known
+
+    def _inflate(self, now: float) -> float:
+        if self._begun_at is None:
+            self._begun_at = now
+        exponent = (now - self._begun_at) / self._window
+        if exponent > _MOST_EXPONENT:
+            self._deflate(math.exp(-min(exponent, 10 * _MOST_EXPONENT)))
+            self._begun_at, exponent = now, 0.0
+        return math.exp(exponent)
+
+    def _deflate(self, factor: float) -> None:
+        for total in self._kinds.values():
+            total.asked *= factor
+            total.requests *= factor
+        for known in self._callers.values():
+            known.asked *= factor
+            known.opened *= factor
+            known.error *= factor
--- /dev/null
+++ b/skylarkfold/shares/_network.py
@@ -0,0 +1,93 @@
+"""Networks of callers and the values that settings give them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from skylarkfold import errors
+
+_PARTS = 4
+_BITS = 32
+_MOST_PART = 255
+
+
+class Network:
+    """A network of IPv4 addresses.
+
+    :param base: its first address as a number.
+    :param length: the bits that all its addresses share.
+    """
+
+    __slots__ = ('base', 'length')
+
+    def __init__(self, base: int, length: int) -> None:
+        self.base = base
+        self.length = length
+
+    @classmethod
+    def parse(cls, text: str) -> 'Network':
+        """Read a network, or a single address.
+
+        :param text: for example ``192.0.2.0/24`` or ``192.0.2.7``.
+        :returns: the network.
+        :raises SettingsError: if it is none, or has bits beyond its length.
+        """
+        host, has_length, bits = text.partition('/')
+        if not has_length:
+            bits = str(_BITS)
+        if not _is_number(bits, _BITS):
+            raise errors.SettingsError(f'{bits!a} is no prefix length')
+        parts = host.split('.')
+        is_address = len(parts) == _PARTS and all(
+            _is_number(each, _MOST_PART) for each in parts
+        )
+        if not is_address:
+            raise errors.SettingsError(f'{host!a} is no IPv4 address')
+        base = int.from_bytes(bytes(int(each) for each in parts), 'big')
+        length = int(bits)
+        if base & ((1 << (_BITS - length)) - 1):
+            raise errors.SettingsError('it has bits beyond its prefix')
+        return cls(base, length)
+
+    def has(self, address: int) -> bool:
+        """Tell whether an address is of this network.
+
+        :param address: the address as a number.
+        :returns: whether it is.
+        """
+        return (address ^ self.base) >> (_BITS - self.length) == 0
+
+
+class NetworkTable:
+    """Values by network; the smallest network that has a caller counts.
+
+    :param entries: the networks, each once, with their values.
+    """
+
+    __slots__ = ('_entries',)
+
+    def __init__(self, entries: Iterable[tuple[Network, float]]) -> None:
+        self._entries = sorted(entries, key=lambda each: -each[0].length)
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def find(self, caller: bytes) -> float | None:
+        """Find the value of a caller.
+
+        :param caller: its packed address.
+        :returns: the value, None where no network has it.
+        """
+        if not self._entries:
+            return None
+        address = int.from_bytes(caller, 'big')
+        for network, value in self._entries:
+            if network.has(address):
+                return value
+        return None
+
+
+def _is_number(text: str, most: int) -> bool:
+    is_plain = text.isascii() and text.isdecimal() and len(text) <= 3
+    # A leading zero is octal to some readers.
+    return is_plain and str(int(text)) == text and int(text) <= most
--- /dev/null
+++ b/skylarkfold/shares/_shortage.py
@@ -0,0 +1,120 @@
+"""Who is above its share of a service that is short of room."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import math
+
+from skylarkfold.shares import _level
+from skylarkfold.shares import _settings
+from skylarkfold.shares import _share
+from skylarkfold.shares import _view
+
+# Of its slots, what requests of a later priority may still try for where the
+# earlier ones seem to fill all: their work is estimated, and what does not
+# fit is refused by the estimate of its answer.
+_LEAST_ROOM_SHARE = 0.1
+_DAY_SECONDS = 86400.0
+
+
+class KindShares:
+    """The shares of the callers of one kind.
+
+    :param view: what they ask for.
+    :param room: what the service has for the kind, in slots.
+    :param settings: weights and caps.
+    :ivar level: what a caller with a weight of one may have, in slots.
+    """
+
+    __slots__ = ('_settings', 'level', 'room', 'view')
+
+    def __init__(
+        self,
+        view: _view.KindView,
+        room: float,
+        settings: _settings.SharesSettings,
+    ) -> None:
+        self.view = view
+        self.room = room
+        self._settings = settings
+        self.level = _level.compute_level(room, self._list_claims())
+
+    def compute_share(self, caller: bytes) -> float:
+        """Compute what a caller may have.
+
+        :param caller: the caller.
+        :returns: slots.
+        """
+        return min(self.level * self._weigh(caller), self._cap(caller))
+
+    def judge(
+        self, now: float, caller: bytes, opening_share: float
+    ) -> _share.OverShare | None:
+        """Tell which share of a caller's new flows is refused.
+
+        :param now: the time.
+        :param caller: the caller.
+        :param opening_share: how much of what it asks for opens flows.
+        :returns: the figures; None for one that is within its share.
+        """
+        demand, sampled = self.view.measure(caller)
+        share = self.compute_share(caller)
+        if sampled <= 0.0 or share >= demand:
+            return None
+        deviation = self._settings.certainty / math.sqrt(sampled)
+        if demand * (1.0 - deviation) <= share:
+            return None
+        # What it asks on open flows can't be refused, so that new ones make
+        # up for it.
+        excess = (1.0 - share / demand) / max(opening_share, 1e-3)
+        said_at = self.view.said_at
+        age = 0.0 if said_at is None else min(now - said_at, _DAY_SECONDS)
+        return _share.OverShare(
+            demand, share, self.room, min(1.0, excess), age
+        )
+
+    def _weigh(self, caller: bytes) -> float:
+        return self._settings.weights.find(caller) or 1.0
+
+    def _cap(self, caller: bytes) -> float:
+        cap = self._settings.caps_per_second.find(caller)
+        if cap is None:
+            return float('inf')
+        return cap * self.view.mean_seconds
+
+    def _list_claims(self) -> list[_level.Claim]:
+        demand, named = self.view.all, self.view.named
+        claims = []
+        rest = demand.total
+        for caller in named:
+            slots = demand.callers.get(caller, 0.0)
+            rest -= slots
+            weight, cap = self._weigh(caller), self._cap(caller)
+            claims.append(_level.Claim(slots, weight, cap))
+        if rest > 0.0:
+            # Of the others only the number is known.
+            count = max(1, self.view.known - len(named))
+            claims.append(_level.Claim(rest / count, count=float(count)))
+        return claims
+
+
+def divide(
+    views: Mapping[int, _view.KindView],
+    slots: float,
+    settings: _settings.SharesSettings,
+) -> dict[int, KindShares]:
+    """Divide a service's slots, those of the first priority first.
+
+    :param views: what is asked for, by priority.
+    :param slots: of the service.
+    :param settings: how full it is filled.
+    :returns: the shares, by priority.
+    """
+    left = settings.filled_share * slots
+    shares = {}
+    for priority in sorted(views):
+        view = views[priority]
+        room = max(left, _LEAST_ROOM_SHARE * slots)
+        shares[priority] = KindShares(view, room, settings)
+        left = max(0.0, left - view.all.total)
+    return shares
