Shares: counted, told to peers and kept by instances that are asked to

Need: a deployment asks for callers' shares by a term of its settings file, a customer by its own settings; callers are counted over all instances. Change: affinity counts new flows and further requests by caller, and refuses with over-share; beacons (format 5) hold a report of callers while a service is short of room, none otherwise; own settings have a section shares, read again with the settings file: what can't be used changes nothing. Off: no state, nothing told, one test of None on the path of a new flow and of a new request.

--- a/skylarkfold/affinity/_admission.py
+++ b/skylarkfold/affinity/_admission.py
@@ -94,6 +94,17 @@
         wait = max(0.0, turns - 1) * queue.seconds
         return _work.Estimate(own.seconds, wait, queue.seconds)
 
+    def get_work(self, address: bytes, service: str) -> float:
+        """Tell how long a request takes a slot.
+
+        :param address: of its route.
+        :param service: its service, whose usual requests stand for those of
+            a route that is not known yet.
+        :returns: seconds; 0 where nothing is known.
+        """
+        known = self._by_address.get(address) or self._by_service.get(service)
+        return known.seconds if known is not None else 0.0
+
     def is_refused(
         self, route: _route.Route, expected: _work.Estimate, hashed: int
     ) -> bool:
--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -20,6 +20,7 @@
 from skylarkfold.affinity import _refusal
 from skylarkfold.affinity import _route
 from skylarkfold.affinity import _settings
+from skylarkfold.affinity import _share_switch
 from skylarkfold.affinity import _standing
 from skylarkfold.affinity import _suspects
 from skylarkfold.affinity import _tally
@@ -38,6 +39,7 @@
 
     :param zone: this instance's availability zone.
     :param settings: the limits.
+    :ivar shares: whether callers are kept to shares.
     """
 
     def __init__(
@@ -70,6 +72,13 @@
             self._refusals,
             self.tally,
         )
+        self.shares = _share_switch.ShareSwitch(
+            self._directory,
+            self._admission,
+            self._refusals,
+            self._health,
+            lambda address: self._routes.get(address),
+        )
         self._held = _held.HeldPackets()
         self._presence = _presence.Presence(
             settings,
@@ -171,16 +180,17 @@
         if packet.is_first:
             return self._take_first(now, packet)
         flow = self._flows.get(packet.flow)
-        if flow is None or not _is_bound(flow, packet):
+        if flow is None or not _flow.is_bound(flow, packet.token):
             flow = self._bind(now, packet, flow)
             if flow is None:
                 return self._take_unknown(now, packet)
         elif not flow.is_open:
-            self._open(now, flow, packet)
+            self._health.note_open(now, flow, packet)
         if self._routes.get(packet.address) is not None:
             flow.is_routed = True
         elif self._is_removed(now, flow):
-            return self._take_removed(now, packet, flow)
+            self._flows.remove(flow)
+            return self._refuse(packet, Reason.ROUTE_REMOVED)
         return self._carry(now, packet, flow)
 
     def take_probe(
@@ -249,6 +259,12 @@
         service = route.choose_service(hashed)
         # Of a copy, another instance may have placed the first one.
         is_copy = packet.acknowledged > 0
+        if self.shares.sharing is not None and not is_copy:
+            refused = self.shares.sharing.take_first(
+                now, packet, route, service, hashed, self._routes.version
+            )
+            if refused:
+                return refused
         standing = self._opener.choose(now, service, hashed)
         if standing is None:
             return self._refuse(packet, Reason.NO_UPSTREAM)
@@ -304,20 +320,9 @@
             _flow.move(flow, standing, packet.acknowledged, now)
             return flow
         _flow.count_in(flow, standing)
-        self._open(now, flow, packet)
+        self._health.note_open(now, flow, packet)
         return flow
 
-    def _open(
-        self, now: float, flow: _flow.Flow, packet: _packet.Packet
-    ) -> None:
-        opened = self.tally.histograms[_tally.OPEN_SECONDS]
-        opened.observe(now - flow.begun_at)
-        flow.is_open = True
-        flow.first = b''
-        # Its upstream's numbers begin anywhere.
-        flow.acknowledged = packet.acknowledged
-        self._health.note_heard(now, flow.standing)
-
     def _carry(
         self, now: float, packet: _packet.Packet, flow: _flow.Flow
     ) -> list[object]:
@@ -356,12 +361,6 @@
         """Tell whether all routes that there are were known just now."""
         return now - self._confirmed_at <= self._settings.verdict_seconds
 
-    def _take_removed(
-        self, now: float, packet: _packet.Packet, flow: _flow.Flow
-    ) -> list[object]:
-        self._flows.remove(flow)
-        return self._refuse(packet, Reason.ROUTE_REMOVED)
-
     def _refuse_route(
         self, now: float, packet: _packet.Packet
     ) -> list[object]:
@@ -393,8 +392,3 @@
         for packet in self._held.release(now):
             effects += self.take_packet(now, packet)
         return effects
-
-
-def _is_bound(flow: _flow.Flow, packet: _packet.Packet) -> bool:
-    standing = flow.standing
-    return packet.token == standing.upstream.token and not standing.is_former
--- a/skylarkfold/affinity/_effect.py
+++ b/skylarkfold/affinity/_effect.py
@@ -17,6 +17,7 @@
     ROUTE_REMOVED = 'route-removed'
     NO_UPSTREAM = 'no-upstream'
     CROWDED = 'crowded'
+    OVER_SHARE = 'over-share'
     NO_TOKEN = 'no-token'
     TOKEN_UNKNOWN = 'token-unknown'
     OTHER_SERVICE = 'other-service'
--- a/skylarkfold/affinity/_flow.py
+++ b/skylarkfold/affinity/_flow.py
@@ -192,6 +192,17 @@
         return (self._active, self._fading, self._dormant, self._forgotten)
 
 
+def is_bound(flow: Flow, token: int) -> bool:
+    """Tell whether a flow is bound to the upstream that a token names.
+
+    :param flow: the flow.
+    :param token: that a packet of it carries.
+    :returns: whether it is, to its present start.
+    """
+    standing = flow.standing
+    return token == standing.upstream.token and not standing.is_former
+
+
 def count_in(flow: Flow, standing: _standing.Standing) -> None:
     """Bind a flow to an upstream and count it there.
 
--- a/skylarkfold/affinity/_health.py
+++ b/skylarkfold/affinity/_health.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import collections
+from typing import TYPE_CHECKING
 
 from skylarkfold.affinity import _admission
 from skylarkfold.affinity import _effect
@@ -21,6 +22,9 @@
 from skylarkfold.affinity import _suspects
 from skylarkfold.affinity import _tally
 
+if TYPE_CHECKING:
+    from skylarkfold.affinity import _sharing
+
 _NEVER = float('-inf')
 
 
@@ -31,6 +35,8 @@
     :param suspects: told of upstreams that don't answer.
     :param admission: told how long answers take.
     :param tally: where durations are counted.
+    :ivar sharing: told of what callers ask for; None where they have no
+        shares.
     """
 
     __slots__ = (
@@ -40,6 +46,7 @@
         '_settings',
         '_suspects',
         '_waits',
+        'sharing',
     )
 
     def __init__(
@@ -54,6 +61,7 @@
         self._admission = admission
         self._histograms = tally.histograms
         self._patience = _patience.Patience(settings)
+        self.sharing: _sharing.Sharing | None = None
         self._waits: collections.deque[tuple[float, _flow.Flow]] = (
             collections.deque()
         )
@@ -67,6 +75,26 @@
         standing.heard_at = now
         standing.avoided_until = _NEVER
 
+    def note_open(
+        self, now: float, flow: _flow.Flow, packet: _packet.Packet
+    ) -> None:
+        """Note that a flow's caller has answered its upstream.
+
+        :param now: the time.
+        :param flow: the flow.
+        :param packet: the first packet that shows it.
+        """
+        seconds = now - flow.begun_at
+        self._histograms[_tally.OPEN_SECONDS].observe(seconds)
+        flow.is_open = True
+        flow.first = b''
+        # Its upstream's numbers begin anywhere.
+        flow.acknowledged = packet.acknowledged
+        self.note_heard(now, flow.standing)
+        if self.sharing is not None:
+            service = flow.standing.upstream.service
+            self.sharing.note_open(service, seconds)
+
     def take_packet(
         self, now: float, flow: _flow.Flow, packet: _packet.Packet
     ) -> None:
@@ -85,8 +113,11 @@
         end = _flow.add_length(packet.sequence, packet.length)
         if flow.sent is not None and not _flow.is_after(end, flow.sent):
             return
+        is_further = flow.sent is not None and flow.waiting_since is None
         flow.sent = end
         _flow.begin_work(flow, now)
+        if self.sharing is not None and is_further:
+            self.sharing.note_request(now, flow)
         if flow.waiting_since is None:
             flow.waiting_since = now
             service = flow.standing.upstream.service
--- a/skylarkfold/affinity/_packet.py
+++ b/skylarkfold/affinity/_packet.py
@@ -62,6 +62,15 @@
         return self.flow[_CALLER_BYTES:]
 
 
+def get_caller(flow: bytes) -> bytes:
+    """Get the caller's address of a packed flow.
+
+    :param flow: as in :attr:`Packet.flow`.
+    :returns: its host, packed.
+    """
+    return flow[:_HOST_BYTES]
+
+
 def get_address(flow: bytes) -> bytes:
     """Get the service's address of a packed flow.
 
@@ -83,13 +92,22 @@
     return socket.inet_aton(host) + port.to_bytes(2, 'big')
 
 
+def format_host(packed: bytes) -> str:
+    """Write a packed host for a person.
+
+    :param packed: 4 bytes.
+    :returns: for example ``192.0.2.7``.
+    """
+    return socket.inet_ntoa(packed)
+
+
 def format_address(packed: bytes) -> str:
     """Write a packed address for a person.
 
     :param packed: 6 bytes.
     :returns: for example ``192.0.2.7:443``.
     """
-    host = socket.inet_ntoa(packed[:_HOST_BYTES])
+    host = format_host(packed[:_HOST_BYTES])
     port = int.from_bytes(packed[_HOST_BYTES:_CALLER_BYTES], 'big')
     return f'{host}:{port}'
 
--- a/skylarkfold/affinity/_refusal.py
+++ b/skylarkfold/affinity/_refusal.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from skylarkfold.affinity import _effect
 from skylarkfold.affinity import _ending
 from skylarkfold.affinity import _packet
@@ -10,6 +12,9 @@
 from skylarkfold.affinity import _tally
 from skylarkfold.affinity import _work
 
+if TYPE_CHECKING:
+    from skylarkfold import shares
+
 
 class Refusals:
     """Refuses packets, with a line and a count for each.
@@ -72,3 +77,34 @@
         }
         reason = _effect.Reason.CROWDED
         return self.refuse(packet, reason, version, details)
+
+    def refuse_over_share(
+        self,
+        packet: _packet.Packet,
+        version: int,
+        route: _route.Route,
+        service: str,
+        over: shares.OverShare,
+    ) -> list[object]:
+        """Refuse a new flow that is beyond its caller's share.
+
+        :param packet: its first packet.
+        :param version: of the routes.
+        :param route: its route.
+        :param service: its service.
+        :param over: the caller's demand and share.
+        :returns: effects.
+        """
+        caller = _packet.get_caller(packet.flow)
+        details = {
+            'service': service,
+            'caller': _packet.format_host(caller),
+            'demand_slots': round(over.demand, 2),
+            'share_slots': round(over.share, 2),
+            'room_slots': round(over.room, 2),
+            'refused_share': round(over.refused_share, 3),
+            'word_age_ms': _ending.to_ms(over.age_seconds),
+            'priority': route.priority,
+        }
+        reason = _effect.Reason.OVER_SHARE
+        return self.refuse(packet, reason, version, details)
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -19,6 +19,7 @@
 from skylarkfold.forwarder import _probe
 from skylarkfold.forwarder import _reporter
 from skylarkfold.forwarder import _rhythm
+from skylarkfold.forwarder import _sharing
 from skylarkfold.forwarder import _store_link
 from skylarkfold import late_log
 from skylarkfold import machine
@@ -83,6 +84,11 @@
             _precedence.Precedence(platform, own),
         )
         self._relay.set_seeds(settings.seeds)
+        self._sharing = _sharing.CallerSharing(
+            self._affinity, self._relay, self._reporter
+        )
+        self._own = own
+        self._sharing.put(own, platform.asks_for_shares(settings))
         self._peers = _peers.PeerSockets(
             self._loop, settings.peer_address, self
         )
@@ -111,6 +117,9 @@
             relay.Changed: self._store.take_change,
             relay.Fetch: self._peers.fetch,
             relay.Note: self._note,
+            relay.TakeCallers: lambda wanted: self._sharing.take(
+                self._loop.now(), wanted
+            ),
             relay.TakeHeard: self._take_heard,
             relay.TakeLoad: self._take_load,
             relay.TakeLost: self._take_lost,
@@ -178,6 +187,8 @@
         if settings is None:
             return
         before, self._settings = self._settings, settings
+        is_asked = self._platform.asks_for_shares(settings)
+        self._sharing.reload(self._own, is_asked)
         self._relay.set_seeds(settings.seeds)
         if settings.zones != before.zones:
             self._knowledge.zones = settings.zones
@@ -319,6 +330,7 @@
     def _tell_load(self) -> None:
         now = self._loop.now()
         self._relay.set_loads(self._affinity.list_loads(now))
+        self._sharing.refresh(now)
         if self._settings.warm_up_slack is not None:
             mates = self._relay.peers.list_mates()
             self._affinity.set_mates(now, self._settings.name, mates)
--- a/skylarkfold/forwarder/_gauges.py
+++ b/skylarkfold/forwarder/_gauges.py
@@ -34,6 +34,8 @@
         'busy': float(directory.count_busy()),
         'peers': float(len(relay_core.peers.list_neighbours())),
     }
+    if core.shares.sharing is not None:
+        gauges.update(core.shares.sharing.callers.list_gauges())
     for topic in relay_core.topics:
         age = relay_core.compute_age(now, topic)
         gauges[f'age_seconds_{topic}'] = _NEVER if age is None else age
--- a/skylarkfold/forwarder/_metrics.py
+++ b/skylarkfold/forwarder/_metrics.py
@@ -9,6 +9,7 @@
 
 # What the daemon itself counts, beside the decisions' counters.
 BEACON_MALFORMED = 'beacon.malformed'
+CALLERS_MALFORMED = 'callers.malformed'
 FETCH_MALFORMED = 'fetch.malformed'
 PACKET_MALFORMED = 'packet.malformed'
 PAGE_MALFORMED = 'page.malformed'
--- a/skylarkfold/forwarder/_own.py
+++ b/skylarkfold/forwarder/_own.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+from typing import TYPE_CHECKING
 
 from skylarkfold import affinity
 from skylarkfold import errors
@@ -14,6 +15,9 @@
 from skylarkfold import machine
 from skylarkfold import relay
 
+if TYPE_CHECKING:
+    from skylarkfold import shares
+
 _COMMENT = '//'
 _MOST_PORT = 65535
 # Of an instance's link: the rest is for its callers.
@@ -50,9 +54,19 @@
     :param log: how much is logged.
     :param affinity: limits of placement and health.
     :param relay: how the store's objects are followed.
+    :param shares: how callers are kept to shares; None where nothing is said
+        of it.
+    :ivar path: the file that they were read from; empty for none.
     """
 
-    __slots__ = ('affinity', 'log', 'metrics_port', 'relay')
+    __slots__ = (
+        'affinity',
+        'log',
+        'metrics_port',
+        'path',
+        'relay',
+        'shares',
+    )
 
     def __init__(
         self,
@@ -60,7 +74,10 @@
         log: LogSettings | None = None,
         affinity: affinity.AffinitySettings | None = None,
         relay: relay.RelaySettings | None = None,
+        shares: shares.SharesSettings | None = None,
     ) -> None:
+        self.path = ''
+        self.shares = shares
         self.metrics_port = metrics_port
         self.log = log or LogSettings()
         self.affinity = affinity or _AFFINITY()
@@ -86,7 +103,9 @@
         text = files.read_bytes(path).decode()
     except UnicodeDecodeError as error:
         raise errors.SettingsUnreadableError(str(error), path) from None
-    return parse_own_settings(text, path)
+    own = parse_own_settings(text, path)
+    own.path = path
+    return own
 
 
 def take_machine(own: OwnSettings, settings: machine.MachineSettings) -> None:
@@ -123,7 +142,7 @@
         for line in text.split('\n')
     ]
     try:
-        fields = json.loads('\n'.join(lines))
+        fields = json.loads('\n'.join(lines), object_pairs_hook=_build_object)
     except (ValueError, RecursionError) as error:
         raise errors.SettingsSyntaxError(str(error), source) from None
     _check_object(fields, source, '$')
@@ -132,10 +151,16 @@
         place = f'$.{name}'
         if name in _SECTIONS:
             values[name] = _convert(_SECTIONS[name], value, source, place)
+        elif name == 'shares':
+            _check_object(value, source, place)
+            # Few have it, and it takes time at the start.
+            from skylarkfold.forwarder import _own_shares
+
+            values[name] = _own_shares.convert_shares(value, source, place)
         elif name == 'metrics_port':
             values[name] = _check_port(value, source, place)
         else:
-            known = ', '.join(sorted([*_SECTIONS, 'metrics_port']))
+            known = ', '.join(sorted([*_SECTIONS, 'metrics_port', 'shares']))
             raise errors.UnknownFieldError(f'known: {known}', source, place)
     return OwnSettings(**values)
 
@@ -154,9 +179,29 @@
     return kind(**values)
 
 
+class _Object(dict):
+    """An object of the file.
+
+    :ivar twice: names that stand more than once in it.
+    """
+
+    __slots__ = ('twice',)
+
+
+def _build_object(pairs: list[tuple[str, object]]) -> _Object:
+    built = _Object(pairs)
+    names = [name for name, _ in pairs]
+    built.twice = sorted({name for name in names if names.count(name) > 1})
+    return built
+
+
 def _check_object(value: object, source: str, path: str) -> None:
     if not isinstance(value, dict):
         raise errors.SettingsError('an object is wanted', source, path)
+    for name in value.twice:
+        raise errors.DuplicateError(
+            'it stands twice', source, f'{path}.{name}'
+        )
 
 
 def _check_port(value: object, source: str, path: str) -> int:
--- a/skylarkfold/forwarder/_platform.py
+++ b/skylarkfold/forwarder/_platform.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from skylarkfold import affinity
+from skylarkfold import machine
 from skylarkfold import reactor
 from skylarkfold import relay
 
@@ -72,6 +73,9 @@
     ) -> affinity.Evacuations:
         """Read which of the zones are evacuated."""
 
+    def asks_for_shares(self, settings: machine.MachineSettings) -> bool:
+        """Tell whether the deployment wants callers kept to shares."""
+
     def list_counters(self) -> dict[str, int]:
         """List what could not be used so far, totals by name."""
 
--- /dev/null
+++ b/skylarkfold/forwarder/_sharing.py
@@ -0,0 +1,103 @@
+"""Callers' shares between the decisions on flows and the peers."""
+
+from __future__ import annotations
+
+import copy
+
+from skylarkfold import affinity
+from skylarkfold import errors
+from skylarkfold.forwarder import _metrics
+from skylarkfold.forwarder import _own
+from skylarkfold.forwarder import _reporter
+from skylarkfold import late_log
+from skylarkfold import relay
+
+
+class CallerSharing:
+    """Exchanges what callers ask for with the other instances.
+
+    :param core: the decisions on flows.
+    :param relay_core: speaks to the peers.
+    :param reporter: counts words that can't be true.
+    """
+
+    __slots__ = ('_core', '_relay', '_reporter')
+
+    def __init__(
+        self,
+        core: affinity.AffinityCore,
+        relay_core: relay.RelayCore,
+        reporter: _reporter.Reporter,
+    ) -> None:
+        self._core = core
+        self._relay = relay_core
+        self._reporter = reporter
+
+    def put(self, own: _own.OwnSettings, is_asked: bool) -> None:
+        """Put settings in force.
+
+        :param own: the settings of this instance.
+        :param is_asked: whether the platform's settings ask for shares, too.
+        """
+        settings = own.shares
+        if is_asked:
+            from skylarkfold import shares
+
+            settings = copy.copy(settings or shares.SharesSettings())
+            settings.is_enforced = True
+        self._core.shares.put(settings)
+        if self._core.shares.sharing is None:
+            self._relay.announcer.callers.put(b'', b'')
+
+    def reload(self, own: _own.OwnSettings, is_asked: bool) -> None:
+        """Read this instance's settings of shares again.
+
+        What can't be used changes nothing.
+
+        :param own: the settings, which take the new ones.
+        :param is_asked: as for :meth:`put`.
+        """
+        try:
+            own.shares = _own.read_own_settings(own.path).shares
+        except errors.SettingsError as error:
+            self._reporter.log(
+                'settings', late_log.ERROR, reason='kept', error=str(error)
+            )
+        self.put(own, is_asked)
+
+    def refresh(self, now: float) -> None:
+        """Work out the shares, and what peers are told next.
+
+        :param now: the time.
+        """
+        sharing = self._core.shares.sharing
+        if sharing is None:
+            return
+        from skylarkfold import shares
+
+        mates, instances = self._relay.peers.count_reachable()
+        sharing.refresh(now, shares.Fleet(mates, instances))
+        callers = sharing.callers
+        words = self._relay.announcer.callers
+        words.put(callers.word, callers.zone_word)
+        if callers.elsewhere:
+            words.put_elsewhere(callers.elsewhere_at, callers.elsewhere)
+
+    def take(self, now: float, wanted: relay.TakeCallers) -> None:
+        """Take what a peer tells of callers.
+
+        :param now: the time.
+        :param wanted: its word.
+        """
+        sharing = self._core.shares.sharing
+        if sharing is None:
+            return
+        is_sound = sharing.callers.take_word(
+            now,
+            wanted.source,
+            wanted.is_zone,
+            wanted.age_seconds,
+            wanted.word,
+        )
+        if not is_sound:
+            self._reporter.count(_metrics.CALLERS_MALFORMED)
--- a/skylarkfold/machine.py
+++ b/skylarkfold/machine.py
@@ -51,6 +51,7 @@
     :param change_seconds: how soon a change of the routes must be in force.
     :param disturbed_seconds: how much later it may be after the store was
         disturbed.
+    :param terms: what else the deployment asks for, in the platform's words.
     """
 
     __slots__ = (
@@ -67,6 +68,7 @@
         'ready_address',
         'seeds',
         'store_address',
+        'terms',
         'warm_up_factor',
         'warm_up_slack',
         'zone',
@@ -92,6 +94,7 @@
         warm_up_slack: float | None = None,
         change_seconds: float = _CHANGE_SECONDS,
         disturbed_seconds: float = _DISTURBED_SECONDS,
+        terms: tuple[str, ...] = (),
     ) -> None:
         self.name = name
         self.zone = zone
@@ -110,6 +113,7 @@
         self.warm_up_slack = warm_up_slack
         self.change_seconds = change_seconds
         self.disturbed_seconds = disturbed_seconds
+        self.terms = terms
 
     @property
     def capacity(self) -> int:
@@ -222,6 +226,7 @@
         disturbed_seconds=section.get_seconds(
             'disturbed_ms', _DISTURBED_SECONDS
         ),
+        terms=section.get_texts('terms'),
     )
 
 
--- a/skylarkfold/platform/_adapter.py
+++ b/skylarkfold/platform/_adapter.py
@@ -13,6 +13,9 @@
 from skylarkfold import reactor
 from skylarkfold import relay
 
+# The term of a deployment that wants callers kept to shares.
+_SHARES_TERM = 'pressure'
+
 
 class Adapter:
     """Translates the platform's bytes; see ``forwarder.Platform``.
@@ -46,6 +49,10 @@
         """Read which of the availability zones are evacuated."""
         return _objects.decode_evacuations(items, zones, self._complaints)
 
+    def asks_for_shares(self, settings: machine.MachineSettings) -> bool:
+        """Tell whether the deployment wants callers kept to shares."""
+        return _SHARES_TERM in settings.terms
+
     def list_counters(self) -> dict[str, int]:
         """List what could not be used so far, totals by name."""
         return dict(self._complaints.counters)
--- a/skylarkfold/relay/__init__.py
+++ b/skylarkfold/relay/__init__.py
@@ -22,12 +22,14 @@
 from skylarkfold.relay._effect import Fetch
 from skylarkfold.relay._effect import Note
 from skylarkfold.relay._effect import SendBeacon
+from skylarkfold.relay._effect import TakeCallers
 from skylarkfold.relay._effect import TakeHeard
 from skylarkfold.relay._effect import TakeLoad
 from skylarkfold.relay._effect import TakeLost
 from skylarkfold.relay._effect import TellHeard
 from skylarkfold.relay._item import Item
 from skylarkfold.relay._messages import Beacon
+from skylarkfold.relay._messages import CallerReport
 from skylarkfold.relay._messages import News
 from skylarkfold.relay._messages import Page
 from skylarkfold.relay._messages import Position
@@ -42,12 +44,14 @@
     'Beacon',
     'Call',
     'CallStore',
+    'CallerReport',
     'Changed',
     'Fetch',
     'Item',
     'News',
     'Note',
     'Page',
+    'TakeCallers',
     'TakeHeard',
     'TakeLoad',
     'TakeLost',
--- a/skylarkfold/relay/_announcer.py
+++ b/skylarkfold/relay/_announcer.py
@@ -4,6 +4,7 @@
 
 import heapq
 
+from skylarkfold.relay import _callers
 from skylarkfold.relay import _codec
 from skylarkfold.relay import _effect
 from skylarkfold.relay import _item
@@ -27,6 +28,7 @@
     :param peers: the others.
     :param topics: what is known here.
     :param settings: the relay's settings.
+    :ivar callers: what is told of callers.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         '_topics',
         '_zone_loads',
         '_zones_pace',
+        'callers',
     )
 
     def __init__(
@@ -61,6 +64,11 @@
         self._zone_loads: dict[str, tuple[float, _Loads]] = {}
         self._next_slow_near = _NEVER
         self._next_slow_far = _NEVER
+        self.callers = _callers.CallerWords(
+            own.zone,
+            settings.caller_bytes_per_second,
+            settings.caller_word_seconds,
+        )
 
     def tell_zone(
         self,
@@ -166,6 +174,7 @@
         beacon = self.build(now, loads=tuple(loads), hearsay=hearsay)
         beacon.ages = ages
         beacon.silent = self._peers.gossip.list_silent(now, is_near=True)
+        beacon.callers = self.callers.choose_near(now, len(hosts))
         return [_effect.SendBeacon(hosts, beacon)]
 
     def send_far(self, now: float) -> list[object]:
@@ -188,6 +197,7 @@
                 self._far_pace.note(now, loads, len(hosts))
         beacon = self.build(now, loads=loads, hearsay=hearsay)
         beacon.silent = self._peers.gossip.list_silent(now, is_near=False)
+        beacon.callers = self.callers.choose_far(now, len(hosts))
         return [_effect.SendBeacon(hosts, beacon)]
 
     def _report_zones(
--- a/skylarkfold/relay/_codec.py
+++ b/skylarkfold/relay/_codec.py
@@ -20,12 +20,13 @@
 from skylarkfold import revision as revisions
 from skylarkfold import upstream_load
 
-_VERSION = 4
+_VERSION = 5
 # Requests at a time are told in hundredths: on a fleet of sixty instances
 # one alone has a few of them.
 _BUSY_STEPS = 100
 _MOST_NUMBER = 1 << 62
 _MOST_LIST = 4096
+_MOST_CALLER_BYTES = 1024
 _NEVER_MILLISECONDS = -1
 # A page of 3,800 upstreams is 1 MB before it is packed.
 MAXIMUM_PAGE_BYTES = 16 * 1024 * 1024
@@ -102,6 +103,10 @@
         _pack_ages(beacon.ages),
         _pack_ages(beacon.silent),
     ]
+    callers = beacon.callers
+    if callers is not None:
+        age = _to_milliseconds(callers.age_seconds)
+        fields.append([callers.word, callers.elsewhere, age])
     return msgpack.packb(fields)
 
 
@@ -231,7 +236,8 @@
 
 def _convert_beacon(fields: list[object]) -> _messages.Beacon:
     _, name, zone, capacity, flags, positions, *rest = fields
-    news, loads, hearsay, doubts, heard, lost, ages, silent = rest
+    news, loads, hearsay, doubts, heard, lost, ages, silent, *rare = rest
+    (callers,) = rare or (None,)
     return _messages.Beacon(
         _check_text(name),
         _check_text(zone),
@@ -267,6 +273,7 @@
         tuple(_check_count(each) for each in _check_list(lost)),
         _unpack_ages(ages),
         _unpack_ages(silent),
+        None if callers is None else _convert_callers(*callers),
     )
 
 
@@ -284,6 +291,15 @@
     return {digest: age / _AGE_STEPS for digest, age in _AGE.iter_unpack(data)}
 
 
+def _convert_callers(
+    word: object, elsewhere: object, age: object
+) -> _messages.CallerReport:
+    for each in (word, elsewhere):
+        if not isinstance(each, bytes) or len(each) > _MOST_CALLER_BYTES:
+            raise errors.DecodeError('a short word of callers is wanted')
+    return _messages.CallerReport(word, elsewhere, _check_count(age) / 1000)
+
+
 def _convert_news(fields: list[object]) -> _messages.News:
     topic, era, base, items = fields
     return _messages.News(
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -244,6 +244,7 @@
         ):
             effects += self._exchange.compare(now, topic, host, position)
         effects += self._announcer.take_loads(now, beacon)
+        effects += self._announcer.callers.take(now, beacon)
         if beacon.doubts:
             effects.append(_effect.TellHeard(host, beacon.doubts))
         if beacon.heard:
--- a/skylarkfold/relay/_effect.py
+++ b/skylarkfold/relay/_effect.py
@@ -121,6 +121,27 @@
         self.loads = loads
 
 
+class TakeCallers:
+    """A peer has told what callers ask for.
+
+    :param source: the instance or the zone; empty for all other zones
+        together.
+    :param is_zone: whether it is a zone's sum, or several zones'.
+    :param age_seconds: how old it is.
+    :param word: what was said.
+    """
+
+    __slots__ = ('age_seconds', 'is_zone', 'source', 'word')
+
+    def __init__(
+        self, source: str, is_zone: bool, age_seconds: float, word: bytes
+    ) -> None:
+        self.source = source
+        self.is_zone = is_zone
+        self.age_seconds = age_seconds
+        self.word = word
+
+
 class TellHeard:
     """A peer doubts some upstreams: tell it through ``RelayCore.answer``.
 
--- a/skylarkfold/relay/_messages.py
+++ b/skylarkfold/relay/_messages.py
@@ -121,6 +121,26 @@
         self.loads = loads
 
 
+class CallerReport:
+    """What callers ask for, where a service is short of room.
+
+    The words are written and read by ``shares``.
+
+    :param word: what the sender counts; its zone's sum, told to other zones.
+    :param elsewhere: the sum of other zones, passed on within a zone.
+    :param age_seconds: how old that is.
+    """
+
+    __slots__ = ('age_seconds', 'elsewhere', 'word')
+
+    def __init__(
+        self, word: bytes, elsewhere: bytes = b'', age_seconds: float = 0.0
+    ) -> None:
+        self.word = word
+        self.elsewhere = elsewhere
+        self.age_seconds = age_seconds
+
+
 class Beacon:
     """What an instance tells its neighbours several times a second.
 
@@ -141,10 +161,12 @@
     :param ages: how many seconds ago instances were last heard by anyone,
         by the digests of their names.
     :param silent: the same for instances that are silent to a neighbour.
+    :param callers: what callers ask for; None where no room is short.
     """
 
     __slots__ = (
         'ages',
+        'callers',
         'capacity',
         'doubts',
         'heard',
@@ -176,6 +198,7 @@
         lost: tuple[int, ...] = (),
         ages: dict[int, float] | None = None,
         silent: dict[int, float] | None = None,
+        callers: CallerReport | None = None,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -191,6 +214,7 @@
         self.lost = lost
         self.ages = ages or {}
         self.silent = silent or {}
+        self.callers = callers
 
 
 class Page:
--- a/skylarkfold/relay/_settings.py
+++ b/skylarkfold/relay/_settings.py
@@ -47,6 +47,10 @@
         an instance: its own load and those of other zones, told within its
         zone, and its zone's, told to others. They come less often where
         they are large. With 3 KB at rest that is 10.5 KB a second.
+    :param caller_bytes_per_second: what telling of callers may cost while a
+        service is short of room; words come less often where they are large.
+    :param caller_word_seconds: how long what other zones say of callers is
+        passed on.
     :param first_seconds: how long a new instance waits for a peer to
         answer before it asks the store; peers answer within 10 ms.
     :param duty_seconds: after its start, how long an instance watches nothing:
@@ -97,6 +101,8 @@
         'lasting_seconds',
         'lasting_topics',
         'least_backoff_seconds',
+        'caller_bytes_per_second',
+        'caller_word_seconds',
         'load_bytes_per_second',
         'load_entries',
         'most_backoff_seconds',
@@ -139,6 +145,8 @@
         slow_seconds: float = 1.0,
         load_entries: int = 256,
         load_bytes_per_second: float = 2500.0,
+        caller_bytes_per_second: float = 600.0,
+        caller_word_seconds: float = 2.5,
         first_seconds: float = 0.015,
         duty_seconds: float = 1.2,
         seed_seconds: float = 1.0,
@@ -173,6 +181,8 @@
         self.slow_seconds = slow_seconds
         self.load_entries = load_entries
         self.load_bytes_per_second = load_bytes_per_second
+        self.caller_bytes_per_second = caller_bytes_per_second
+        self.caller_word_seconds = caller_word_seconds
         self.first_seconds = first_seconds
         self.duty_seconds = duty_seconds
         self.seed_seconds = seed_seconds
--- a/skylarkfold/shares/__init__.py
+++ b/skylarkfold/shares/__init__.py
@@ -7,6 +7,7 @@
 
 from skylarkfold.shares._callers import CallerShares
 from skylarkfold.shares._callers import digest_service
+from skylarkfold.shares._callers import Room
 from skylarkfold.shares._level import Claim
 from skylarkfold.shares._level import compute_level
 from skylarkfold.shares._network import Network
@@ -22,6 +23,7 @@
     'Network',
     'NetworkTable',
     'OverShare',
+    'Room',
     'SharesSettings',
     'compute_level',
     'digest_service',
--- a/skylarkfold/shares/_callers.py
+++ b/skylarkfold/shares/_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+import math
 
 import xxhash
 
@@ -16,6 +17,20 @@
 _MOST_WORD_BYTES = 4096
 
 
+class Room:
+    """What a service has.
+
+    :param slots: of its upstreams that take new flows.
+    :param busy: requests that they have, as far as is known.
+    """
+
+    __slots__ = ('busy', 'slots')
+
+    def __init__(self, slots: float, busy: float = 0.0) -> None:
+        self.slots = slots
+        self.busy = busy
+
+
 def digest_service(service: str) -> int:
     """Compute what stands for a service in words.
 
@@ -32,15 +47,22 @@
     slot seconds that are asked for in a second.
 
     :param settings: whether and how shares are kept.
+    :ivar word: what neighbours are told; empty where no room is short.
+    :ivar zone_word: what other zones are told.
+    :ivar elsewhere: the sum of what other zones have said here.
+    :ivar elsewhere_at: since when all of that is true.
     """
 
     __slots__ = (
         '_counts',
         '_fleet',
         '_judged',
+        '_own',
         '_settings',
         '_shares',
         '_words',
+        'elsewhere',
+        'elsewhere_at',
         'word',
         'zone_word',
     )
@@ -52,6 +74,8 @@
         )
         self._words = _view.PeerWords(settings.word_seconds)
         self._fleet = _view.Fleet(0, 1)
+        # Slots and requests a second that were counted here, by service.
+        self._own: dict[int, tuple[float, float]] = {}
         # Of services that are short of room.
         self._shares: dict[int, dict[int, _shortage.KindShares]] = {}
         self._judged: dict[
@@ -59,6 +83,8 @@
         ] = {}
         self.word = b''
         self.zone_word = b''
+        self.elsewhere = b''
+        self.elsewhere_at = 0.0
 
     def set_settings(self, settings: _settings.SharesSettings) -> None:
         """Put other weights and caps in force; what was counted stays.
@@ -123,7 +149,8 @@
         """Take what a peer tells.
 
         :param now: the time.
-        :param source: the neighbour, or the zone whose sum it is.
+        :param source: the neighbour, or the zone whose sum it is; empty for
+            all other zones together.
         :param is_zone: which of them.
         :param age_seconds: how long ago it was said.
         :param data: the word.
@@ -144,35 +171,36 @@
         return {service for service, _ in kinds}
 
     def refresh(
-        self, now: float, slots: Mapping[int, float], fleet: _view.Fleet
+        self, now: float, rooms: Mapping[int, Room], fleet: _view.Fleet
     ) -> None:
         """Work out the shares and what peers are told.
 
         :param now: the time; several times a second.
-        :param slots: of the services that are asked for; one that has none
+        :param rooms: of the services that are asked for; one that has none
             is not kept to shares.
         :param fleet: how many instances there are.
         """
         self._counts.expire(now)
         self._words.expire(now)
+        self._own = self._counts.measure_services(now)
         self._fleet = fleet
         self._shares.clear()
         self._judged.clear()
         word: _word.Word = {}
         zone_word: _word.Word = {}
-        for service, views in self._list_views(now, fleet).items():
-            room = slots.get(service, 0.0)
-            if room <= 0.0:
-                continue
-            shares = _shortage.divide(views, room, self._settings)
+        for service, views in self._list_views(now, rooms).items():
+            room = rooms[service]
+            shares = _shortage.divide(views, room.slots, self._settings)
             demand = sum(view.all.total for view in views.values())
-            if demand > self._settings.short_share * room:
+            if demand > self._settings.short_share * room.slots:
                 self._shares[service] = shares
-            if self._must_tell(demand, room, views):
+            if self._must_tell(service, demand, room):
                 self._tell(service, shares, word, zone_word)
         self.word = _word.pack(word) if word and fleet.mates else b''
         is_far = fleet.instances > 1 + fleet.mates
         self.zone_word = _word.pack(zone_word) if zone_word and is_far else b''
+        self.elsewhere_at, elsewhere = self._words.sum_zones()
+        self.elsewhere = _word.pack(elsewhere)
 
     def list_gauges(self) -> dict[str, float]:
         """List what is known now.
@@ -197,34 +225,49 @@
         }
 
     def _list_views(
-        self, now: float, fleet: _view.Fleet
+        self, now: float, rooms: Mapping[int, Room]
     ) -> dict[int, dict[int, _view.KindView]]:
-        kinds = {*self._counts.list_kinds(), *self._words.list_kinds()}
+        """View what is asked for of services that may be short of room."""
+        heard = self._words.list_kinds()
+        watched = {service for service, _ in heard}
+        for service in self.list_services() - watched:
+            room = rooms.get(service)
+            if room is not None and self._must_tell(service, 0.0, room):
+                watched.add(service)
+        kinds = {
+            kind
+            for kind in heard.union(self._counts.list_kinds())
+            if kind[0] in watched and kind[0] in rooms
+        }
+        callers = self._counts.measure_callers(now, kinds)
         views: dict[int, dict[int, _view.KindView]] = {}
         for kind in kinds:
-            slots, rate = self._counts.measure_kind(now, kind)
-            callers = self._counts.measure_callers(now, kind)
-            own = _word.Demand(slots, callers)
-            view = _view.KindView(own, rate, self._words, kind, fleet)
             service, priority = kind
+            if rooms[service].slots <= 0.0:
+                continue
+            slots, rate = self._counts.measure_kind(now, kind)
+            own = _word.Demand(slots, callers.get(kind, {}))
+            view = _view.KindView(own, rate, self._words, kind, self._fleet)
             views.setdefault(service, {})[priority] = view
         return views
 
-    def _must_tell(
-        self,
-        demand: float,
-        room: float,
-        views: Mapping[int, _view.KindView],
-    ) -> bool:
+    def _must_tell(self, service: int, demand: float, room: Room) -> bool:
         """Tell whether peers must know what is asked for here.
 
-        Before anything is heard, the other zones are taken to be like this
-        one; else nobody would begin.
+        :param service: the service.
+        :param demand: what is known to be asked for in all.
+        :param room: what there is.
         """
-        if demand >= self._settings.joined_share * room:
+        if max(demand, room.busy) >= self._settings.joined_share * room.slots:
             return True
-        expected = sum(view.expect(self._fleet) for view in views.values())
-        return expected >= self._settings.short_share * room
+        # Before anything is heard, the other instances are taken to be like
+        # this one, so far as it has counted enough to tell.
+        slots, rate = self._own.get(service, (0.0, 0.0))
+        if not rate:
+            return False
+        certain = slots * max(0.0, 1.0 - 1.0 / math.sqrt(rate))
+        expected = certain * self._fleet.instances
+        return expected >= self._settings.short_share * room.slots
 
     def _tell(
         self,
--- a/skylarkfold/shares/_count.py
+++ b/skylarkfold/shares/_count.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 import math
 
 # Of a service (by digest) the requests of one priority.
@@ -114,6 +115,19 @@
         """List the kinds that are asked for."""
         return list(self._kinds)
 
+    def measure_services(self, now: float) -> dict[int, tuple[float, float]]:
+        """Tell what is asked for of each service.
+
+        :param now: the time.
+        :returns: slots, and requests a second.
+        """
+        measured: dict[int, tuple[float, float]] = {}
+        for kind in self._kinds:
+            slots, rate = measured.get(kind[0], (0.0, 0.0))
+            more, faster = self.measure_kind(now, kind)
+            measured[kind[0]] = (slots + more, rate + faster)
+        return measured
+
     def measure_kind(self, now: float, kind: Kind) -> tuple[float, float]:
         """Tell what is asked for of a kind.
 
@@ -127,19 +141,22 @@
         scale = self._inflate(now) * self._window
         return total.asked / scale, total.requests / scale
 
-    def measure_callers(self, now: float, kind: Kind) -> dict[bytes, float]:
+    def measure_callers(
+        self, now: float, kinds: Container[Kind]
+    ) -> dict[Kind, dict[bytes, float]]:
         """Tell what is certain of each caller.
 
         :param now: the time.
-        :param kind: the kind.
-        :returns: slots, by caller.
+        :param kinds: which kinds are wanted.
+        :returns: slots, by kind and caller.
         """
         scale = self._inflate(now) * self._window
-        return {
-            caller: (known.asked - known.error) / scale
-            for (each, caller), known in self._callers.items()
-            if each == kind
-        }
+        measured: dict[Kind, dict[bytes, float]] = {}
+        for (kind, caller), known in self._callers.items():
+            if kind in kinds:
+                slots = (known.asked - known.error) / scale
+                measured.setdefault(kind, {})[caller] = slots
+        return measured
 
     def measure_opening(self, kind: Kind, caller: bytes) -> float:
         """Tell which share of a caller's requests open a flow.
--- a/skylarkfold/shares/_view.py
+++ b/skylarkfold/shares/_view.py
@@ -10,6 +10,8 @@
 
 # Sources remembered of each sort; neighbours are few, zones eleven.
 _MOST_SOURCES = 64
+# The source of what neighbours pass on of all other zones together.
+ELSEWHERE = ''
 # A caller that was counted k times here may have asked for so many times more
 # by chance, in standard deviations; few counts say little.
 _DEVIATIONS = 3.0
@@ -89,8 +91,37 @@
     def list_zones(
         self, kind: _count.Kind
     ) -> Iterator[tuple[float, _word.Told]]:
-        """List what other zones say of a kind, each with its time."""
-        return _select(self._zones, kind)
+        """List what other zones say of a kind, each with its time.
+
+        Who hears them needs not what neighbours pass on of them.
+        """
+        direct = self.list_direct()
+        return _select(direct or self._zones, kind)
+
+    def list_direct(self) -> dict[str, tuple[float, _word.Word]]:
+        """List the words of zones that were heard from them."""
+        return {
+            source: said
+            for source, said in self._zones.items()
+            if source != ELSEWHERE
+        }
+
+    def sum_zones(self) -> tuple[float, _word.Word]:
+        """Sum up what was heard from other zones, to be passed on.
+
+        :returns: since when all of it is true, and the sum.
+        """
+        direct = self.list_direct()
+        total: _word.Word = {}
+        for _, word in direct.values():
+            for kind, told in word.items():
+                before = total.get(kind)
+                if before is None:
+                    total[kind] = told
+                    continue
+                own = _word.add(before.own, told.own)
+                total[kind] = _word.Told(before.known + told.known, own)
+        return min((at for at, _ in direct.values()), default=0.0), total
 
 
 def _select(
@@ -173,14 +204,6 @@
             self.all = _word.add(self.all, told.own)
             self.known += told.known
 
-    def expect(self, fleet: Fleet) -> float:
-        """Compute the demand if the other zones were like this one.
-
-        :param fleet: how many instances there are.
-        :returns: slots.
-        """
-        return self.zone.total / self._size * fleet.instances
-
     def estimate_callers(self) -> dict[bytes, float]:
         """Estimate what callers ask for, one that no peer names included.
 
--- a/skylarkfold/shares/_word.py
+++ b/skylarkfold/shares/_word.py
@@ -101,16 +101,19 @@
 def pack(word: Word) -> bytes:
     """Write a word.
 
-    :param word: by kind; the kinds with the largest demand are written.
+    :param word: by kind; the kinds with the largest demand are written, of
+        these the callers named first.
     :returns: its bytes.
     """
     parts = []
+    left = MOST_CALLERS
     kinds = sorted(word, key=lambda kind: -word[kind].own.total)
     for kind in kinds[:_MOST_KINDS]:
         told = word[kind]
         own, near = told.own, told.near
         names = list(dict.fromkeys([*own.callers, *near.callers]))
-        names = names[:MOST_CALLERS]
+        names = names[:left]
+        left -= len(names)
         digest, priority = kind
         totals = _bound(own.total), _bound(near.total)
         priority = min(_MOST_PRIORITY, priority)
--- a/skylarkfold/tests/shares/fleet.py
+++ b/skylarkfold/tests/shares/fleet.py
@@ -103,7 +103,7 @@
             zone = len(self.zones[each.zone])
             each.core.refresh(
                 self.now,
-                {SERVICE: self.slots},
+                {SERVICE: shares.Room(self.slots)},
                 shares.Fleet(zone - 1, len(self.deciders)),
             )
             if each.name in self.lost:
