--- a/skylarkfold/shares/_callers.py
+++ b/skylarkfold/shares/_callers.py
@@ -293,7 +293,7 @@
 
         What the others ask for is told in total.
         """
-        callers = shares.view.estimate_callers()
+        callers = shares.view.all.callers
         level = shares.level
         if level == float('inf'):
             level = shares.room / max(1, len(callers))
--- a/skylarkfold/shares/_view.py
+++ b/skylarkfold/shares/_view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+import functools
 import math
 
 from skylarkfold.shares import _count
@@ -180,15 +181,14 @@
         self.own = own
         self.mean_seconds = own.total / own_rate if own_rate else 0.0
         self._size = 1 + fleet.mates
-        heard = [own, *(told.own for _, told in mates)]
-        self._heard = _word.scale(_word.average(heard), len(heard))
-        self.near = mean = _word.average(heard)
+        heard = [told.own for _, told in mates]
+        self._heard = functools.reduce(_word.add, heard, own)
+        self.near = mean = _word.average(own, heard)
         if len(mates) < fleet.mates and mates and self._is_sparse():
             # Any mean of samples of the zone's flows is one; that over the
             # neighbours' neighbours is of more of them, but older.
-            mean = _word.average(
-                (self.near, *(told.near for _, told in mates))
-            )
+            near = (told.near for _, told in mates)
+            mean = _word.average(self.near, near)
         zone = _word.scale(mean, self._size)
         most = self._bound(own.total)
         if zone.total > most:
@@ -204,17 +204,6 @@
             self.all = _word.add(self.all, told.own)
             self.known += told.known
 
-    def estimate_callers(self) -> dict[bytes, float]:
-        """Estimate what callers ask for, one that no peer names included.
-
-        :returns: slots, by caller; by what was counted here alone if that
-            says more.
-        """
-        callers = dict(self.all.callers)
-        for caller, slots in self.own.callers.items():
-            callers[caller] = max(callers[caller], slots * self._size)
-        return callers
-
     def measure(self, caller: bytes) -> tuple[float, float]:
         """Tell what a caller asks for.
 
--- a/skylarkfold/shares/_word.py
+++ b/skylarkfold/shares/_word.py
@@ -61,20 +61,32 @@
 NO_WORD: Word = {}
 
 
-def average(demands: Iterable[Demand]) -> Demand:
+def average(own: Demand, others: Iterable[Demand]) -> Demand:
     """Average demands of several instances.
 
-    :param demands: at least one.
-    :returns: their mean; a caller that one doesn't name asks nothing there.
+    A word names few callers: of one that it leaves out it says nothing. The
+    mean of such a caller is that of the instances that name it.
+
+    :param own: counted here, of all callers.
+    :param others: told by others.
+    :returns: their mean; the callers' never sum up to more than the total.
     """
-    each = list(demands)
-    callers: dict[bytes, float] = {}
-    for demand in each:
-        for caller, slots in demand.callers.items():
-            callers[caller] = callers.get(caller, 0.0) + slots
-    count = len(each)
-    total = sum(demand.total for demand in each) / count
-    return Demand(total, {name: one / count for name, one in callers.items()})
+    others = list(others)
+    total = own.total + sum(each.total for each in others)
+    sums = dict(own.callers)
+    counts: dict[bytes, int] = {}
+    for each in others:
+        for caller, slots in each.callers.items():
+            sums[caller] = sums.get(caller, 0.0) + slots
+            counts[caller] = counts.get(caller, 0) + 1
+    callers = {
+        name: one / (1 + counts.get(name, 0)) for name, one in sums.items()
+    }
+    mean = total / (1 + len(others))
+    most = sum(callers.values())
+    if most > mean:
+        callers = {name: one * mean / most for name, one in callers.items()}
+    return Demand(mean, callers)
 
 
 def scale(demand: Demand, factor: float) -> Demand:
@@ -95,7 +107,10 @@
     :param other: another.
     :returns: both together.
     """
-    return scale(average((one, other)), 2.0)
+    callers = dict(one.callers)
+    for caller, slots in other.callers.items():
+        callers[caller] = callers.get(caller, 0.0) + slots
+    return Demand(one.total + other.total, callers)
 
 
 def pack(word: Word) -> bytes:
--- a/skylarkfold/tests/shares/fleet.py
+++ b/skylarkfold/tests/shares/fleet.py
@@ -59,6 +59,7 @@
                 near = {(place + step) % len(zone) for step in RING}
                 each.mates = [zone[at] for at in sorted(near - {place})]
         self.lost = set()
+        self.is_cut = False
         self.words = 0
         self.bytes = 0
 
@@ -113,7 +114,8 @@
                     self._send(each, mate, each.name, False, each.core.word)
         for zone in self.zones:
             teller = zone[0]
-            if not teller.core.zone_word or teller.name in self.lost:
+            is_mute = self.is_cut or teller.name in self.lost
+            if not teller.core.zone_word or is_mute:
                 continue
             for each in self.deciders:
                 if each.zone != teller.zone:
