Shares: told at once when a shortage begins; counted within 0.3 s

Cause: over the real relay with 64 instances in three zones the one that presses was at 1.95 of its share in the second second: a count that decays within 0.5 s lags, and words waited for the next beacon, 0.4 s to other zones. Change: the first word of a shortage goes at once; counts decay within 0.3 s, how much was sampled is counted accordingly, and one is refused from two deviations above its share on.

--- a/skylarkfold/relay/_callers.py
+++ b/skylarkfold/relay/_callers.py
@@ -21,6 +21,7 @@
     :param zone: this instance's availability zone.
     :param bytes_per_second: what it may cost.
     :param word_seconds: how long a word of other zones is passed on.
+    :ivar is_urgent: whether a shortage has just begun, which is told at once.
     """
 
     __slots__ = (
@@ -32,6 +33,7 @@
         '_word_seconds',
         '_zone',
         '_zone_word',
+        'is_urgent',
     )
 
     def __init__(
@@ -43,6 +45,7 @@
         far = bytes_per_second - near
         self._near_pace = _pace.Pace(near, _BURST_SECONDS)
         self._far_pace = _pace.Pace(far, _BURST_SECONDS)
+        self.is_urgent = False
         self._word = b''
         self._zone_word = b''
         self._elsewhere = b''
@@ -54,6 +57,7 @@
         :param word: what is counted here; empty where no room is short.
         :param zone_word: the zone's sum; empty for nothing.
         """
+        self.is_urgent |= bool(word) and not self._word
         self._word = word
         self._zone_word = zone_word
 
@@ -64,7 +68,11 @@
         :param word: the sum.
         """
         if at > self._elsewhere_at:
-            self._elsewhere, self._elsewhere_at = word, at
+            self._pass_on(at, word)
+
+    def _pass_on(self, at: float, word: bytes) -> None:
+        self.is_urgent |= not self._elsewhere
+        self._elsewhere, self._elsewhere_at = word, at
 
     def choose_near(
         self, now: float, hosts: int
@@ -117,7 +125,7 @@
             effects.append(told)
         at = now - report.age_seconds
         if report.elsewhere and at > self._elsewhere_at:
-            self._elsewhere, self._elsewhere_at = report.elsewhere, at
+            self._pass_on(at, report.elsewhere)
             effects.append(
                 _effect.TakeCallers(
                     '', True, report.age_seconds, report.elsewhere
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -173,6 +173,9 @@
         elif now - self._ticked_at > self._settings.pause_seconds:
             effects += self._wake(now)
         self._ticked_at = now
+        if self._announcer.callers.is_urgent:
+            self._announcer.callers.is_urgent = False
+            self._next_near = self._next_far = now
         if now >= self._next_near:
             self._next_near = now + self._settings.beacon_seconds
             self._peers.refresh(now)
--- a/skylarkfold/shares/_callers.py
+++ b/skylarkfold/shares/_callers.py
@@ -240,6 +240,9 @@
             if kind[0] in watched and kind[0] in rooms
         }
         callers = self._counts.measure_callers(now, kinds)
+        # The variance of a decaying count is that of a window twice as long
+        # as its time constant.
+        seconds = 2 * self._settings.window_seconds
         views: dict[int, dict[int, _view.KindView]] = {}
         for kind in kinds:
             service, priority = kind
@@ -247,7 +250,9 @@
                 continue
             slots, rate = self._counts.measure_kind(now, kind)
             own = _word.Demand(slots, callers.get(kind, {}))
-            view = _view.KindView(own, rate, self._words, kind, self._fleet)
+            view = _view.KindView(
+                own, rate, self._words, kind, self._fleet, seconds
+            )
             views.setdefault(service, {})[priority] = view
         return views
 
@@ -265,7 +270,8 @@
         slots, rate = self._own.get(service, (0.0, 0.0))
         if not rate:
             return False
-        certain = slots * max(0.0, 1.0 - 1.0 / math.sqrt(rate))
+        sampled = rate * 2 * self._settings.window_seconds
+        certain = slots * max(0.0, 1.0 - 1.0 / math.sqrt(sampled))
         expected = certain * self._fleet.instances
         return expected >= self._settings.short_share * room.slots
 
--- a/skylarkfold/shares/_settings.py
+++ b/skylarkfold/shares/_settings.py
@@ -13,7 +13,7 @@
         ask for is counted in total.
     :param told_callers: of these, how many a word to peers holds at most.
     :param window_seconds: time constant of the decay of what was counted; of
-        a change, 0.86 are seen after two of it, which is a second.
+        a change 0.81 are seen after half a second, when peers must know.
     :param word_seconds: how long a peer's word counts; it comes several times
         a second.
     :param short_share: a service is short of room once it is asked for more
@@ -50,12 +50,12 @@
         is_enforced: bool = False,
         callers: int = 256,
         told_callers: int = 16,
-        window_seconds: float = 0.5,
+        window_seconds: float = 0.3,
         word_seconds: float = 2.5,
         short_share: float = 0.9,
         filled_share: float = 0.95,
-        joined_share: float = 0.7,
-        certainty: float = 1.0,
+        joined_share: float = 0.8,
+        certainty: float = 2.0,
         weights: _network.NetworkTable | None = None,
         caps_per_second: _network.NetworkTable | None = None,
     ) -> None:
--- a/skylarkfold/shares/_view.py
+++ b/skylarkfold/shares/_view.py
@@ -142,6 +142,7 @@
     :param words: of peers.
     :param kind: the kind.
     :param fleet: how many instances there are.
+    :param sample_seconds: how many seconds of arrivals a count stands for.
     :ivar near: the mean of this instance and its neighbours.
     :ivar zone: the sum of this availability zone.
     :ivar all: the sum of all zones that are heard.
@@ -154,6 +155,7 @@
 
     __slots__ = (
         '_heard',
+        '_sample_seconds',
         '_size',
         'all',
         'known',
@@ -173,7 +175,9 @@
         words: PeerWords,
         kind: _count.Kind,
         fleet: Fleet,
+        sample_seconds: float,
     ) -> None:
+        self._sample_seconds = sample_seconds
         mates = list(words.list_mates(kind))
         zones = list(words.list_zones(kind))
         times = [at for at, _ in (*mates, *zones)]
@@ -214,13 +218,17 @@
         slots = self.all.callers.get(caller, 0.0)
         slots = min(slots, self._bound(self.own.callers.get(caller, 0.0)))
         heard = self._heard.callers.get(caller, 0.0)
-        sampled = heard / self.mean_seconds if self.mean_seconds else 0.0
-        return slots, sampled
+        return slots, self._count(heard)
+
+    def _count(self, slots: float) -> float:
+        """Tell how many requests a demand was counted from."""
+        if not self.mean_seconds:
+            return 0.0
+        return slots / self.mean_seconds * self._sample_seconds
 
     def _is_sparse(self) -> bool:
         """Tell whether too little was sampled for a mean of neighbours."""
-        wanted = _ENOUGH_REQUESTS * self.mean_seconds
-        return not self.mean_seconds or self._heard.total < wanted
+        return self._count(self._heard.total) < _ENOUGH_REQUESTS
 
     def _bound(self, own: float) -> float:
         """Compute the most that is likely by what was counted here.
@@ -231,7 +239,8 @@
         if not self.mean_seconds:
             # Who counted nothing refuses nothing, and passes on what it hears.
             return float('inf')
-        sampled = own / self.mean_seconds
+        sampled = self._count(own)
         deviation = _DEVIATIONS * math.sqrt(sampled + 1.0)
         most = sampled + _DEVIATIONS + deviation
-        return most * self.mean_seconds * self._size
+        rate = most / self._sample_seconds
+        return rate * self.mean_seconds * self._size
--- /dev/null
+++ b/skylarkfold/tests/shares/relayed.py
@@ -0,0 +1,99 @@
+"""Instances that keep callers to shares, with the words of the real relay."""
+
+import random
+
+from skylarkfold.measure import _relay_fleet
+from skylarkfold import relay
+from skylarkfold import shares
+from skylarkfold.tests.shares import fleet as fleets
+
+WORK_SECONDS = fleets.WORK_SECONDS
+# As often as the daemon works out the shares.
+STEP_SECONDS = 0.2
+
+
+class RelayedFleet(_relay_fleet.Fleet):
+    """Callers, each of one zone, and the instances that routers choose.
+
+    :param zones: the availability zone of each instance.
+    :param slots: of the service.
+    """
+
+    def __init__(self, zones, slots):
+        self.random = random.Random(5)
+        self.slots = slots
+        self.callers = {}
+        self.told = 0
+        super().__init__(zones)
+        self.run(6.0)
+
+    def start(self, name, zone, capacity=0):
+        settings = shares.SharesSettings(True)
+        self.callers[name] = shares.CallerShares(settings)
+        super().start(name, zone, capacity)
+
+    def perform(self, name, effects):
+        super().perform(name, effects)
+        for wanted in effects:
+            if isinstance(wanted, relay.TakeCallers):
+                self.callers[name].take_word(
+                    self.now,
+                    wanted.source,
+                    wanted.is_zone,
+                    wanted.age_seconds,
+                    wanted.word,
+                )
+            elif isinstance(wanted, relay.SendBeacon):
+                self.told += self.measure(wanted)
+
+    def measure(self, wanted):
+        """Tell how many bytes of a beacon are about callers."""
+        beacon = wanted.beacon
+        whole = len(relay.encode_beacon(beacon))
+        callers, beacon.callers = beacon.callers, None
+        rest = len(relay.encode_beacon(beacon))
+        beacon.callers = callers
+        return (whole - rest) * len(wanted.hosts)
+
+    def play(self, seconds, demands):
+        """Let callers ask for slots; tell what they were given."""
+        names = sorted(set(self.zones.values()))
+        homes = {
+            number: [
+                name
+                for name in self.cores
+                if self.zones[name] == names[number % len(names)]
+            ]
+            for number in demands
+        }
+        given = dict.fromkeys(demands, 0.0)
+        for _ in range(round(seconds / STEP_SECONDS)):
+            arrivals = []
+            for number, slots in demands.items():
+                expected = slots * STEP_SECONDS / WORK_SECONDS
+                for _ in range(int(expected + self.random.random())):
+                    at = self.now + STEP_SECONDS * self.random.random()
+                    arrivals.append((at, number))
+            for at, number in sorted(arrivals):
+                core = self.callers[self.random.choice(homes[number])]
+                caller = fleets.name_caller(number)
+                core.note(at, fleets.SERVICE, 0, caller, WORK_SECONDS)
+                over = core.judge(at, fleets.SERVICE, 0, caller)
+                drawn = self.random.getrandbits(64)
+                if over is None or not over.refuses(drawn):
+                    given[number] += WORK_SECONDS
+            self.run(STEP_SECONDS)
+            self.refresh()
+        return {number: each / seconds for number, each in given.items()}
+
+    def refresh(self):
+        """Do what the daemon does several times a second."""
+        for name, core in self.cores.items():
+            callers = self.callers[name]
+            mates, instances = core.peers.count_reachable()
+            rooms = {fleets.SERVICE: shares.Room(self.slots)}
+            callers.refresh(self.now, rooms, shares.Fleet(mates, instances))
+            words = core.announcer.callers
+            words.put(callers.word, callers.zone_word)
+            if callers.elsewhere:
+                words.put_elsewhere(callers.elsewhere_at, callers.elsewhere)
--- /dev/null
+++ b/skylarkfold/tests/shares/test_relayed.py
@@ -0,0 +1,65 @@
+"""Tests of callers' shares over the beacons of the relay.
+
+Load: one caller presses five times beyond its share, seen by instances that
+each get a few of its flows a second. Failure: its zone is cut off. Bounds:
+those below their share keep 0.97 of their requests; who presses is at 1.25
+of its share after a second; told of it are at most 600 bytes a second by an
+instance, none at rest, so that control stays within its 11 KB.
+"""
+
+import testtools
+
+from skylarkfold.tests.shares import relayed
+from skylarkfold.tests.shares import test_callers
+
+BYTES_PER_SECOND = 600.0
+
+
+class RelayedTest(testtools.TestCase):
+    def build(self, count, zones, slots):
+        names = tuple(f'zone-{number % zones}' for number in range(count))
+        return relayed.RelayedFleet(names, slots)
+
+    def check(self, fleet, demands, given, share):
+        kept = min(given[each] / demands[each] for each in range(1, 8))
+        self.assertGreaterEqual(kept, test_callers.KEPT, given)
+        most = test_callers.WITHIN * share
+        self.assertLessEqual(given[test_callers.PRESSING], most, given)
+        used = sum(given.values())
+        self.assertGreaterEqual(used, test_callers.USED * fleet.slots, given)
+
+    def press(self, fleet):
+        slots = fleet.slots
+        # Half of the slots.
+        fleet.play(4.0, dict.fromkeys(range(8), slots / 16))
+        self.assertEqual(0, fleet.told)
+        demands = test_callers.build_demands(slots)
+        fleet.play(1.0, demands)
+        fleet.told = 0
+        given = fleet.play(3.0, demands)
+        self.check(fleet, demands, given, 0.25 * slots)
+        spent = fleet.told / 3.0 / len(fleet.cores)
+        self.assertLessEqual(spent, BYTES_PER_SECOND)
+
+    def test_seven_instances_in_three_zones(self):
+        self.press(self.build(7, 3, 120.0))
+
+    def test_64_instances_in_three_zones(self):
+        self.press(self.build(64, 3, 120.0))
+
+    def test_a_zone_that_is_cut_off_goes_by_what_it_sees(self):
+        fleet = self.build(12, 3, 120.0)
+        demands = test_callers.build_demands(fleet.slots)
+        fleet.play(3.0, demands)
+        fleet.cut = lambda one, other: (
+            fleet.zones.get(one) == 'zone-0'
+            and fleet.zones.get(other) != 'zone-0'
+        )
+        fleet.play(4.0, demands)
+        given = fleet.play(3.0, demands)
+        # It sees itself, 3 and 6, which leave 0.75 of the slots.
+        self.check(fleet, demands, given, 0.75 * fleet.slots)
+        fleet.cut = lambda one, other: False
+        fleet.play(4.0, demands)
+        given = fleet.play(3.0, demands)
+        self.check(fleet, demands, given, 0.25 * fleet.slots)
