--- /dev/null
+++ b/skylarkfold/tests/affinity/test_sharing.py
@@ -0,0 +1,243 @@
+"""Tests of new flows that are beyond their caller's share.
+
+Load: one caller opens far more flows than there are slots for, others few.
+Bounds: others keep all theirs; a copy of a first packet and an open flow are
+never refused, since either may have run; where callers have no shares nothing
+is kept and nothing refused.
+"""
+
+import testtools
+
+from skylarkfold import affinity
+from skylarkfold.affinity import _placement
+from skylarkfold import shares
+from skylarkfold.tests.affinity import samples
+
+WORK_SECONDS = 0.05
+PRESSING = '192.0.2.7'
+QUIET = '192.0.2.8'
+SLOTS = 8
+
+
+def build_flow(host, port):
+    """Build the key of a caller's flow."""
+    return affinity.pack_address(host, port) + samples.ADDRESS
+
+
+def build_packet(host, port, is_first=True, copy=0, **fields):
+    """Build a packet of a caller."""
+    values = {'token': 0, 'sequence': 100, 'length': 0, **fields}
+    flow = build_flow(host, port)
+    return affinity.Packet(
+        flow,
+        values['token'],
+        values['sequence'],
+        copy,
+        values['length'],
+        is_first,
+        False,
+        b'data' + flow,
+    )
+
+
+class Case:
+    """A core that knows how long its requests take."""
+
+    def __init__(self, settings=None, aim=0.0):
+        route = affinity.Route(
+            samples.ADDRESS, ((samples.SERVICE, 1),), aim_seconds=aim
+        )
+        upstreams = [
+            samples.build_upstream(number, slots=2)
+            for number in range(1, SLOTS // 2 + 1)
+        ]
+        self.token = upstreams[0].token
+        self.core = samples.build_core(
+            *upstreams, routes=affinity.RouteTable(1, [route])
+        )
+        self.core.shares.put(settings or shares.SharesSettings(True))
+        standing = next(iter(self.core.directory))
+        for _ in range(32):
+            self.core._admission.note(
+                0.0, standing, samples.ADDRESS, 0.0, WORK_SECONDS
+            )
+        self.now = 0.0
+        self.port = 1000
+        self.effects = []
+
+    def play(self, seconds, rates):
+        """Open flows; tell how many of each caller were passed on."""
+        passed = dict.fromkeys(rates, 0)
+        asked = dict.fromkeys(rates, 0)
+        for _ in range(round(seconds / 0.2)):
+            arrivals = sorted(
+                (self.now + 0.2 * number / (rate * 0.2), host)
+                for host, rate in rates.items()
+                for number in range(round(rate * 0.2))
+            )
+            for at, host in arrivals:
+                self.port += 1
+                self.core.note_confirmed(at)
+                effects = self.core.take_packet(
+                    at, build_packet(host, self.port)
+                )
+                asked[host] += 1
+                passed[host] += bool(samples.list_forwards(effects))
+                self.effects += effects
+            self.now += 0.2
+            self.refresh()
+        return {host: passed[host] / asked[host] for host in rates}
+
+    def refresh(self):
+        """Do what the daemon does several times a second."""
+        sharing = self.core.shares.sharing
+        if sharing is not None:
+            sharing.refresh(self.now, shares.Fleet(0, 1))
+
+    def list_refused(self):
+        """List the lines of refusals."""
+        return [
+            each
+            for each in self.effects
+            if isinstance(each, affinity.Record)
+            and each.reason == 'over-share'
+        ]
+
+
+class SharingTest(testtools.TestCase):
+    # 160 a second fill the slots.
+    RATES = {PRESSING: 640, QUIET: 60}
+
+    def test_who_presses_is_refused_and_others_are_not(self):
+        case = Case()
+        case.play(1.0, self.RATES)
+        passed = case.play(2.0, self.RATES)
+        self.assertEqual(1.0, passed[QUIET])
+        # What 60 leave of 0.95 of 160, of 640.
+        self.assertAlmostEqual(92 / 640, passed[PRESSING], delta=0.03)
+
+    def test_a_refusal_says_on_which_figures(self):
+        case = Case()
+        case.play(2.0, self.RATES)
+        details = case.list_refused()[-1].details
+        self.assertEqual(samples.SERVICE, details['service'])
+        self.assertEqual(PRESSING, details['caller'])
+        self.assertAlmostEqual(32.0, details['demand_slots'], delta=2.0)
+        self.assertAlmostEqual(4.6, details['share_slots'], delta=0.4)
+        self.assertAlmostEqual(7.6, details['room_slots'], delta=0.01)
+        self.assertEqual(0, details['word_age_ms'])
+        self.assertEqual(0, details['priority'])
+        counted = case.core.tally.counters['reset.over-share']
+        self.assertEqual(len(case.list_refused()), counted)
+
+    def test_a_refused_flow_was_sent_to_no_upstream(self):
+        case = Case()
+        case.play(2.0, self.RATES)
+        refused = {each.flow for each in case.list_refused()}
+        reset = set(samples.list_resets(case.effects))
+        sent = {
+            each.data[4:]
+            for each in case.effects
+            if isinstance(each, affinity.Forward)
+        }
+        self.assertTrue(refused)
+        self.assertEqual(refused, reset)
+        self.assertEqual(set(), refused & sent)
+
+    def test_a_copy_is_not_refused(self):
+        case = Case()
+        case.play(2.0, self.RATES)
+        for port in range(100):
+            packet = build_packet(PRESSING, port, copy=1)
+            effects = case.core.take_packet(case.now, packet)
+            self.assertEqual([], samples.list_resets(effects))
+
+    def test_open_flows_are_carried_on(self):
+        case = Case()
+        case.play(2.0, self.RATES)
+        for port in range(100):
+            packet = build_packet(
+                PRESSING, port, False, token=case.token, length=10
+            )
+            effects = case.core.take_packet(case.now, packet)
+            self.assertEqual(1, len(samples.list_forwards(effects)))
+
+    def test_all_instances_draw_alike(self):
+        case, other = Case(), Case()
+        for each in (case, other):
+            each.play(2.0, self.RATES)
+        self.assertEqual(
+            [each.flow for each in case.list_refused()],
+            [each.flow for each in other.list_refused()],
+        )
+
+    def test_requests_on_open_flows_count_for_their_caller(self):
+        case = Case()
+        core = case.core
+        for step in range(200):
+            now = step * 0.01
+            packet = build_packet(
+                PRESSING,
+                1,
+                False,
+                token=case.token,
+                sequence=100 + 20 * step,
+                copy=500 + 10 * step,
+                length=10,
+            )
+            core.take_packet(now, packet)
+        case.now = 2.0
+        case.refresh()
+        callers = core.shares.sharing.callers
+        digest = shares.digest_service(samples.SERVICE)
+        slots, rate = callers._counts.measure_services(2.0)[digest]
+        self.assertAlmostEqual(100.0, rate, delta=5.0)
+
+    def test_the_way_to_the_caller_is_no_work(self):
+        case = Case()
+        sharing = case.core.shares.sharing
+        for _ in range(16):
+            sharing.note_open(samples.SERVICE, 0.02)
+        seconds = sharing._estimate(samples.ADDRESS, samples.SERVICE)
+        self.assertAlmostEqual(WORK_SECONDS - 0.02, seconds, delta=0.003)
+
+    def test_where_nothing_was_answered_nothing_is_refused(self):
+        case = Case()
+        case.core._admission._by_address.clear()
+        case.core._admission._by_service.clear()
+        passed = case.play(2.0, self.RATES)
+        self.assertEqual({PRESSING: 1.0, QUIET: 1.0}, passed)
+
+    def test_where_all_fits_nothing_is_refused(self):
+        case = Case()
+        rates = {PRESSING: 80, QUIET: 40}
+        self.assertEqual(1.0, min(case.play(3.0, rates).values()))
+
+    def test_without_settings_nothing_is_kept_or_refused(self):
+        for settings in (None, shares.SharesSettings()):
+            case = Case()
+            case.core.shares.put(settings)
+            self.assertIsNone(case.core.shares.sharing)
+            passed = case.play(2.0, self.RATES)
+            self.assertEqual(1.0, min(passed.values()))
+
+    def test_other_weights_keep_what_was_counted(self):
+        case = Case()
+        case.play(2.0, self.RATES)
+        network = shares.Network.parse(PRESSING)
+        caps = shares.NetworkTable([(network, 20.0)])
+        settings = shares.SharesSettings(True, caps_per_second=caps)
+        case.core.shares.put(settings)
+        case.refresh()
+        passed = case.play(1.0, self.RATES)
+        self.assertEqual(1.0, passed[QUIET])
+        self.assertAlmostEqual(20 / 640, passed[PRESSING], delta=0.02)
+
+    def test_a_draw_is_not_that_of_late_answers(self):
+        over = shares.OverShare(2.0, 1.0, 1.0, 0.5, 0.0)
+        late = []
+        for port in range(2000):
+            hashed = _placement.hash_flow(build_flow(QUIET, port))
+            if not over.refuses(hashed):
+                late.append((hashed >> 32) % (1 << 16) < 1 << 15)
+        self.assertAlmostEqual(0.5, sum(late) / len(late), delta=0.05)
--- a/skylarkfold/tests/explain/test_explain.py
+++ b/skylarkfold/tests/explain/test_explain.py
@@ -56,6 +56,27 @@
         )
         self.assertEqual(['u'], story.upstreams)
 
+    def test_a_refusal_for_a_share_shows_its_figures(self):
+        logs = [
+            samples.write(
+                100.0,
+                'one',
+                'reset',
+                reason='over-share',
+                flow=FLOW,
+                caller='192.0.2.7',
+                demand_slots=9.5,
+                share_slots=3.0,
+                room_slots=11.4,
+                word_age_ms=240,
+            )
+        ]
+        for flow in (FLOW, '192.0.2.7:40001'):
+            text = explain.format_story(self.tell(flow, logs))
+            self.assertIn('last decision: reset over-share', text)
+            self.assertIn('demand_slots=9.5 share_slots=3.0', text)
+            self.assertIn('word_age_ms=240', text)
+
     def test_clocks_are_set_by_changes_that_both_have_seen(self):
         story = self.tell()
         self.assertAlmostEqual(2.01, story.clocks['two'].offset)
--- a/skylarkfold/tests/platform/test_settings.py
+++ b/skylarkfold/tests/platform/test_settings.py
@@ -11,6 +11,7 @@
 from skylarkfold import errors
 from skylarkfold import forwarder
 from skylarkfold import machine
+from skylarkfold.platform import _adapter
 from skylarkfold.platform import check
 from skylarkfold.standin import packets
 
@@ -101,6 +102,22 @@
         self.assertFalse(own.affinity.follows_evacuations)
         self.assertFalse(own.affinity.limits_warm_up)
 
+    def test_the_term_in_force_asks_for_callers_shares(self):
+        fields = build_fields()
+        self.assertEqual((), self.read(fields).terms)
+        for terms, is_asked in (
+            (None, False),
+            ([], False),
+            (['base', 'flows'], False),
+            (['pressures'], False),
+            (['base', 'pressure'], True),
+        ):
+            fields['contracts'] = terms
+            settings = self.read(fields)
+            adapter = _adapter.Adapter(settings)
+            self.assertEqual(tuple(terms or ()), settings.terms)
+            self.assertEqual(is_asked, adapter.asks_for_shares(settings))
+
     def test_a_machine_without_a_share_is_said(self):
         fields = build_fields()
         fields['limits'] = {'cpu_share': 0.25, 'cores': 2}
@@ -118,6 +135,7 @@
             'zones': [7],
             'evacuation_ms': 'soon',
             'warm_up_slack': -1,
+            'terms': 'pressure',
         }
         for name, value in cases.items():
             error = self.assertRaises(
