--- a/skylarkfold/forwarder/_sharing.py
+++ b/skylarkfold/forwarder/_sharing.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import copy
-
 from skylarkfold import affinity
 from skylarkfold import errors
 from skylarkfold.forwarder import _metrics
@@ -43,8 +41,7 @@
         if is_asked:
             from skylarkfold import shares
 
-            settings = copy.copy(settings or shares.SharesSettings())
-            settings.is_enforced = True
+            settings = (settings or shares.SharesSettings()).enforce()
         self._core.shares.put(settings)
         if self._core.shares.sharing is None:
             self._relay.announcer.callers.put(b'', b'')
--- a/skylarkfold/relay/_callers.py
+++ b/skylarkfold/relay/_callers.py
@@ -8,7 +8,7 @@
 
 _NEVER = float('-inf')
 # Of the bytes, what goes to the neighbours of this zone.
-_NEAR_SHARE = 2 / 3
+_NEAR_SHARE = 1 / 2
 # What may be told at once when a shortage begins, in seconds of the bytes.
 _BURST_SECONDS = 1.0
 # What a report takes beside its words.
@@ -29,6 +29,7 @@
         '_elsewhere_at',
         '_far_pace',
         '_near_pace',
+        '_told_at',
         '_word',
         '_word_seconds',
         '_zone',
@@ -50,6 +51,8 @@
         self._zone_word = b''
         self._elsewhere = b''
         self._elsewhere_at = _NEVER
+        # When what neighbours were last told of other zones was said.
+        self._told_at = _NEVER
 
     def put(self, word: bytes, zone_word: bytes) -> None:
         """Take what is to be told of this instance and its zone.
@@ -86,11 +89,16 @@
         age = now - self._elsewhere_at
         if self._elsewhere and age > self._word_seconds:
             self._elsewhere, self._elsewhere_at = b'', _NEVER
-        if not self._word and not self._elsewhere:
+        is_new = self._elsewhere_at > self._told_at
+        elsewhere = self._elsewhere if is_new else b''
+        if not self._word and not elsewhere:
             return None
-        age = age if self._elsewhere else 0.0
-        report = _messages.CallerReport(self._word, self._elsewhere, age)
-        return _spend(now, self._near_pace, report, hosts)
+        age = age if is_new else 0.0
+        report = _messages.CallerReport(self._word, elsewhere, age)
+        chosen = _spend(now, self._near_pace, report, hosts)
+        if chosen is not None:
+            self._told_at = self._elsewhere_at
+        return chosen
 
     def choose_far(
         self, now: float, hosts: int
--- a/skylarkfold/shares/_settings.py
+++ b/skylarkfold/shares/_settings.py
@@ -70,3 +70,11 @@
         self.certainty = certainty
         self.weights = weights or _network.NetworkTable(())
         self.caps_per_second = caps_per_second or _network.NetworkTable(())
+
+    def enforce(self) -> 'SharesSettings':
+        """Copy them with shares enforced.
+
+        :returns: the copy.
+        """
+        values = {name: getattr(self, name) for name in self.__slots__}
+        return SharesSettings(**{**values, 'is_enforced': True})
--- a/skylarkfold/shares/_view.py
+++ b/skylarkfold/shares/_view.py
@@ -9,8 +9,9 @@
 from skylarkfold.shares import _count
 from skylarkfold.shares import _word
 
-# Sources remembered of each sort; neighbours are few, zones eleven.
-_MOST_SOURCES = 64
+# Sources remembered of each sort: four neighbours, who change at times, and
+# eleven zones at the size that decides. A word takes up to 15 KB when read.
+_MOST_SOURCES = 16
 # The source of what neighbours pass on of all other zones together.
 ELSEWHERE = ''
 # A caller that was counted k times here may have asked for so many times more
--- a/skylarkfold/tests/forwarder/test_sharing.py
+++ b/skylarkfold/tests/forwarder/test_sharing.py
@@ -5,6 +5,8 @@
 """
 
 import pathlib
+import subprocess
+import sys
 import tempfile
 
 import testtools
@@ -55,6 +57,24 @@
         gauges = _gauges.list_gauges(1.0, self.core, self.relay, True)
         self.assertNotIn('services_short', gauges)
 
+    def test_an_instance_that_is_not_asked_does_not_load_it(self):
+        # Each module more takes time of every start.
+        text = (
+            'import sys\n'
+            'from skylarkfold import forwarder\n'
+            'from skylarkfold.platform import _adapter\n'
+            "own = forwarder.parse_own_settings('{}', 'file')\n"
+            "print([n for n in sys.modules if n.startswith('skylarkfold.sh')"
+            " and not n.startswith('skylarkfold.shelf')])\n"
+        )
+        told = subprocess.run(
+            [sys.executable, '-c', text],
+            capture_output=True,
+            check=True,
+            text=True,
+        )
+        self.assertEqual('[]', told.stdout.strip())
+
     def test_the_term_or_the_setting_asks(self):
         self.sharing.put(self.own, True)
         self.assertIsNotNone(self.core.shares.sharing)
