--- a/skylarkfold/affinity/_binding.py
+++ b/skylarkfold/affinity/_binding.py
@@ -7,7 +7,6 @@
 from skylarkfold.affinity import _health
 from skylarkfold.affinity import _packet
 from skylarkfold.affinity import _route
-from skylarkfold.affinity import _tally
 
 
 class Binding:
@@ -16,22 +15,19 @@
     :param directory: all upstreams.
     :param flows: the flows carried here.
     :param health: told of upstreams that are heard.
-    :param tally: where durations are counted.
     """
 
-    __slots__ = ('_directory', '_flows', '_health', '_tally')
+    __slots__ = ('_directory', '_flows', '_health')
 
     def __init__(
         self,
         directory: _directory.Directory,
         flows: _flow.FlowTable,
         health: _health.HealthWatch,
-        tally: _tally.Tally,
     ) -> None:
         self._directory = directory
         self._flows = flows
         self._health = health
-        self._tally = tally
 
     def bind(
         self,
@@ -69,26 +65,9 @@
             _flow.move(flow, standing, packet.acknowledged, now)
             return flow
         _flow.count_in(flow, standing)
-        self.open(now, flow, packet)
+        self._health.note_open(now, flow, packet)
         return flow
 
-    def open(
-        self, now: float, flow: _flow.Flow, packet: _packet.Packet
-    ) -> None:
-        """Take the packet with which a caller answers its upstream.
-
-        :param now: the time.
-        :param flow: its flow.
-        :param packet: the packet.
-        """
-        opened = self._tally.histograms[_tally.OPEN_SECONDS]
-        opened.observe(now - flow.begun_at)
-        flow.is_open = True
-        flow.first = b''
-        # Its upstream's numbers begin anywhere.
-        flow.acknowledged = packet.acknowledged
-        self._health.note_opened(now, flow)
-
 
 def is_bound(flow: _flow.Flow, packet: _packet.Packet) -> bool:
     """Tell whether a flow is bound to the upstream that a packet names.
--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -22,6 +22,7 @@
 from skylarkfold.affinity import _refusal
 from skylarkfold.affinity import _route
 from skylarkfold.affinity import _settings
+from skylarkfold.affinity import _share_switch
 from skylarkfold.affinity import _standing
 from skylarkfold.affinity import _suspects
 from skylarkfold.affinity import _tally
@@ -43,6 +44,7 @@
     :param zone: this instance's availability zone.
     :param settings: the limits.
     :param room: the instance's own; None for one that nothing is told of.
+    :ivar shares: whether callers are kept to shares.
     """
 
     def __init__(
@@ -86,9 +88,16 @@
             self.room,
         )
         self._binding = _binding.Binding(
-            self._directory, self._flows, self._health, self.tally
+            self._directory, self._flows, self._health
         )
         self.link = _link.build_gate(self.room, self._refusals, self.tally)
+        self.shares = _share_switch.ShareSwitch(
+            self._directory,
+            self._admission,
+            self._refusals,
+            self._health,
+            lambda address: self._routes.get(address),
+        )
         self._held = _held.HeldPackets()
         self._presence = _presence.Presence(
             settings,
@@ -198,14 +207,15 @@
             if flow is None:
                 return self._take_unknown(now, packet)
         elif not flow.is_open:
-            self._binding.open(now, flow, packet)
+            self._health.note_open(now, flow, packet)
         route = self._routes.get(packet.address)
         if route is not None:
             flow.is_routed = True
             if self.link is not None and not route.is_preferred:
                 self.link.take_packet(now, flow, packet, route)
         elif self._is_removed(now, flow):
-            return self._take_removed(now, packet, flow)
+            self._flows.remove(flow)
+            return self._refuse(packet, Reason.ROUTE_REMOVED)
         return self._carry(now, packet, flow)
 
     def tick(self, now: float) -> list[object]:
@@ -271,6 +281,13 @@
         service = route.choose_service(hashed)
         # Of a copy, another instance may have placed the first one.
         is_copy = packet.acknowledged > 0
+        sharing = self.shares.sharing
+        if sharing is not None and not is_copy and not has_waited:
+            refused = sharing.take_first(
+                now, packet, route, service, hashed, self._routes.version
+            )
+            if refused:
+                return refused
         standing = self._opener.choose(now, service, hashed)
         if standing is None:
             return self._refuse(packet, Reason.NO_UPSTREAM)
@@ -346,12 +363,6 @@
         """Tell whether all routes that there are were known just now."""
         return now - self._confirmed_at <= self._settings.verdict_seconds
 
-    def _take_removed(
-        self, now: float, packet: _packet.Packet, flow: _flow.Flow
-    ) -> list[object]:
-        self._flows.remove(flow)
-        return self._refuse(packet, Reason.ROUTE_REMOVED)
-
     def _refuse_route(
         self, now: float, packet: _packet.Packet
     ) -> list[object]:
--- a/skylarkfold/affinity/_effect.py
+++ b/skylarkfold/affinity/_effect.py
@@ -18,6 +18,7 @@
     NO_UPSTREAM = 'no-upstream'
     CROWDED = 'crowded'
     LINK_FULL = 'link-full'
+    OVER_SHARE = 'over-share'
     NO_TOKEN = 'no-token'
     TOKEN_UNKNOWN = 'token-unknown'
     OTHER_SERVICE = 'other-service'
--- a/skylarkfold/forwarder/_gauges.py
+++ b/skylarkfold/forwarder/_gauges.py
@@ -39,6 +39,8 @@
     }
     if core.link is not None:
         gauges.update(core.link.list_gauges())
+    if core.shares.sharing is not None:
+        gauges.update(core.shares.sharing.callers.list_gauges())
     for topic in relay_core.topics:
         age = relay_core.compute_age(now, topic)
         gauges[f'age_seconds_{topic}'] = _NEVER if age is None else age
