Lean: small parts of socket, signal, json and httptools in a start

Cause: these four are loaded for little that is written in C, and bring enum, re, selectors, typing, contextlib and string with them: 53 of 169 million instructions of all imports (callgrind, collector off).

Change: lean.py takes the parts from where they are written and is alone to know how. JSON goes through the scanner of the standard library; what that does not take is handed to json itself, so that errors are its own. The parser of httptools is loaded without its packages' own code, with typing stood in for while it is loaded. The loop uses epoll by itself. Protocols are plain classes at run time. shelf, overlay and backoff, which the other shape shares, import lean, too.

Found on the way: the scanner fails without an exception (SystemError) while json.decoder is not loaded; test_processes' torn settings file failed by it, test_lean now has the case alone.

Ruled out: one more stand-in for datetime, which msgpack needs itself.

--- a/skylarkfold/affinity/_packet.py
+++ b/skylarkfold/affinity/_packet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import socket
+from skylarkfold import lean
 
 # Positions in a packed flow: the caller's address and port, then the
 # service's, as they stand in an IP header.
@@ -80,7 +80,7 @@
     :raises OSError: if the host is no IPv4 address.
     :raises OverflowError: if the port is none.
     """
-    return socket.inet_aton(host) + port.to_bytes(2, 'big')
+    return lean.pack_host(host) + port.to_bytes(2, 'big')
 
 
 def format_address(packed: bytes) -> str:
@@ -89,7 +89,7 @@
     :param packed: 6 bytes.
     :returns: for example ``192.0.2.7:443``.
     """
-    host = socket.inet_ntoa(packed[:_HOST_BYTES])
+    host = lean.format_host(packed[:_HOST_BYTES])
     port = int.from_bytes(packed[_HOST_BYTES:_CALLER_BYTES], 'big')
     return f'{host}:{port}'
 
--- a/skylarkfold/backoff.py
+++ b/skylarkfold/backoff.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Protocol
 
 import xxhash
 
+from skylarkfold import lean
 
-class Jitter(Protocol):
+
+class Jitter(lean.Protocol):
     """A source of pauses that differ, for example ``random.Random``."""
 
     def uniform(self, least: float, most: float) -> float:
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import gc
-import signal
-import socket
 
 from skylarkfold import affinity
 from skylarkfold import errors
@@ -21,6 +19,7 @@
 from skylarkfold.forwarder import _rhythm
 from skylarkfold.forwarder import _store_link
 from skylarkfold import late_log
+from skylarkfold import lean
 from skylarkfold import machine
 from skylarkfold import reactor
 from skylarkfold import relay
@@ -58,7 +57,7 @@
         file: machine.SettingsFile,
         own: _own.OwnSettings,
         platform: _platform.Platform,
-        packets: socket.socket,
+        packets: lean.Socket,
     ) -> None:
         self._settings = settings
         self._file = file
@@ -132,9 +131,9 @@
         """Serve until a planned stop is finished."""
         loop = self._loop
         loop.watch(self._packets, reactor.READ, lambda _: self._take_packets())
-        loop.on_signal(signal.SIGTERM, self._stop)
-        loop.on_signal(signal.SIGINT, self._stop)
-        loop.on_signal(signal.SIGHUP, self._reload)
+        loop.on_signal(lean.SIGTERM, self._stop)
+        loop.on_signal(lean.SIGINT, self._stop)
+        loop.on_signal(lean.SIGHUP, self._reload)
         loop.call_every(_LOAD_SECONDS, self._tell_load)
         loop.call_every(_FLUSH_SECONDS, self._flush)
         loop.call_every(_COUNTERS_SECONDS, self._say_counters)
--- a/skylarkfold/forwarder/_metrics.py
+++ b/skylarkfold/forwarder/_metrics.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-import re
 
 from skylarkfold import histogram
 
@@ -25,7 +24,6 @@
 STORE_SECONDS = 'store_seconds'
 
 _PREFIX = 'skylarkfold_'
-_UNUSUAL = re.compile('[^a-zA-Z0-9_]')
 
 
 def format_metrics(
@@ -76,4 +74,6 @@
 
 
 def _clean(name: str) -> str:
-    return _UNUSUAL.sub('_', name)
+    return ''.join(
+        each if each.isascii() and each.isalnum() else '_' for each in name
+    )
--- a/skylarkfold/forwarder/_own.py
+++ b/skylarkfold/forwarder/_own.py
@@ -6,11 +6,10 @@
 
 from __future__ import annotations
 
-import json
-
 from skylarkfold import affinity
 from skylarkfold import errors
 from skylarkfold import files
+from skylarkfold import lean
 from skylarkfold import machine
 from skylarkfold import relay
 
@@ -123,7 +122,7 @@
         for line in text.split('\n')
     ]
     try:
-        fields = json.loads('\n'.join(lines))
+        fields = lean.parse_json('\n'.join(lines))
     except (ValueError, RecursionError) as error:
         raise errors.SettingsSyntaxError(str(error), source) from None
     _check_object(fields, source, '$')
--- a/skylarkfold/forwarder/_peers.py
+++ b/skylarkfold/forwarder/_peers.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Protocol
 
 from skylarkfold import datagram
 from skylarkfold import errors
 from skylarkfold.forwarder import _metrics
 from skylarkfold import late_log
+from skylarkfold import lean
 from skylarkfold import reactor
 from skylarkfold import relay
 from skylarkfold import revision as revisions
@@ -21,7 +21,7 @@
 _logger = late_log.LOGGER
 
 
-class Listener(Protocol):
+class Listener(lean.Protocol):
     """What takes the peers' messages."""
 
     def take_beacon(self, host: str, beacon: relay.Beacon) -> None:
--- a/skylarkfold/forwarder/_platform.py
+++ b/skylarkfold/forwarder/_platform.py
@@ -4,16 +4,16 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from typing import Protocol
 
 from skylarkfold import affinity
+from skylarkfold import lean
 from skylarkfold import reactor
 from skylarkfold import relay
 
 Answered = Callable[[relay.Answer], object]
 
 
-class Store(Protocol):
+class Store(lean.Protocol):
     """A client of the platform's store."""
 
     def call(self, call: relay.Call, answered: Answered) -> None:
@@ -26,7 +26,7 @@
         """Close all connections."""
 
 
-class Platform(Protocol):
+class Platform(lean.Protocol):
     """Translates between a platform's bytes and typed values.
 
     :ivar routes_topic: the topic of the objects that hold routes.
--- a/skylarkfold/machine.py
+++ b/skylarkfold/machine.py
@@ -8,11 +8,11 @@
 
 from __future__ import annotations
 
-import json
 import os
 
 from skylarkfold import errors
 from skylarkfold import files
+from skylarkfold import lean
 
 _MAXIMUM_PORT = 65535
 # For files that leave them out: what the platform's example has.
@@ -183,7 +183,7 @@
         read or used.
     """
     try:
-        fields = json.loads(files.read_bytes(path))
+        fields = lean.parse_json(files.read_bytes(path))
     except ValueError as error:
         raise errors.SettingsSyntaxError(str(error), path) from None
     return convert_settings(fields, path)
--- a/skylarkfold/overlay.py
+++ b/skylarkfold/overlay.py
@@ -12,12 +12,13 @@
 from collections.abc import Mapping
 import functools
 import heapq
-from typing import Protocol
 
 import xxhash
 
+from skylarkfold import lean
 
-class Place(Protocol):
+
+class Place(lean.Protocol):
     """An instance as the overlay sees it.
 
     :ivar name: its name.
@@ -34,7 +35,7 @@
     capacity: int
 
 
-class Places(Protocol):
+class Places(lean.Protocol):
     """All instances, by name."""
 
     members: Mapping[str, Place]
--- a/skylarkfold/platform/__main__.py
+++ b/skylarkfold/platform/__main__.py
@@ -13,11 +13,11 @@
 
 import gc
 import os
-import socket
 import sys
 
 from skylarkfold import datagram
 from skylarkfold import errors
+from skylarkfold import lean
 from skylarkfold import machine
 
 # The environment variable that holds the settings file's path.
@@ -55,7 +55,7 @@
     settings: machine.MachineSettings,
     file: machine.SettingsFile,
     own_path: str,
-    packets: socket.socket,
+    packets: lean.Socket,
 ) -> None:
     from skylarkfold import forwarder
     from skylarkfold.platform import _adapter
--- a/skylarkfold/platform/_fields.py
+++ b/skylarkfold/platform/_fields.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-import socket
 
 from skylarkfold import errors
+from skylarkfold import lean
 
 _MOST_PORT = 65535
 _DIGITS = frozenset('0123456789')
@@ -179,7 +179,7 @@
     """
     try:
         # Unlike inet_aton, this takes no short or octal forms.
-        socket.inet_pton(socket.AF_INET, host)
+        lean.parse_host(lean.AF_INET, host)
     except (OSError, ValueError):
         reason = f'{name}: an IPv4 address is wanted'
         raise errors.DecodeError(reason) from None
--- a/skylarkfold/platform/_packet.py
+++ b/skylarkfold/platform/_packet.py
@@ -8,10 +8,10 @@
 
 from __future__ import annotations
 
-import socket
 import struct
 
 from skylarkfold import affinity
+from skylarkfold import lean
 
 # seq, ack, flags, pad, dst, sport, dport, src, echo, sum, len
 _HEADER = struct.Struct('>IIBB4s2s2s4sIIH')
@@ -91,4 +91,4 @@
     packet = _HEADER.pack(
         acknowledged, 0, _RST, 0, caller, port, sport, host, 0, 0, 0
     )
-    return packet, (socket.inet_ntoa(caller), caller_port)
+    return packet, (lean.format_host(caller), caller_port)
--- a/skylarkfold/platform/_store.py
+++ b/skylarkfold/platform/_store.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import json
-import re
-import string
 
 from skylarkfold import errors
+from skylarkfold import lean
 from skylarkfold.platform import _complaints
 from skylarkfold.platform import _fields
 from skylarkfold.platform import _objects
@@ -17,7 +15,9 @@
 
 Answered = Callable[[relay.Answer], object]
 
-_PLAIN = frozenset(string.ascii_letters + string.digits + '-._~')
+_PLAIN = frozenset(
+    'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~'
+)
 
 _OK = 200
 _GONE = 410
@@ -27,7 +27,7 @@
 _REFUSALS = (429, 503)
 
 # Texts, which may hold brackets, and brackets.
-_NESTING = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]')
+_NESTING = r'"(?:[^"\\]|\\.)*"|[\[\]{}]'
 _OPENING = ('[', '{')
 _CLOSING = (']', '}')
 # An answer, its list, an object and its entry take four of these; the
@@ -175,12 +175,12 @@
 
 def _parse(body: bytes) -> object:
     try:
-        return json.loads(body)
+        return lean.parse_json(body)
     except (UnicodeDecodeError, RecursionError):
         # Bytes that are no text become characters that no text may hold:
         # only the objects that have them are unusable then.
         text = body.decode('utf-8', 'surrogateescape')
-        return json.loads(_flatten(text))
+        return lean.parse_json(_flatten(text))
 
 
 def _flatten(text: str) -> str:
@@ -189,9 +189,12 @@
     :param text: JSON.
     :returns: JSON that the library reads, whoever wrote it.
     """
+    # Hardly any answer needs it, and each start would pay for it.
+    import re
+
     parts = []
     depth = begin = 0
-    for found in _NESTING.finditer(text):
+    for found in re.finditer(_NESTING, text):
         mark = found.group()
         if mark in _OPENING:
             depth += 1
--- a/skylarkfold/reactor/__init__.py
+++ b/skylarkfold/reactor/__init__.py
@@ -1,6 +1,6 @@
 """Sockets, timers and HTTP for processes that must start fast.
 
-The standard library's selectors, without asyncio: importing asyncio and
+The kernel's epoll, without asyncio: importing asyncio and
 uvloop takes about 90 ms of processor time, which on a fifth of a core
 keeps a restarted instance from its packets for almost half a second
 (``skylarkfold measure start``).
--- a/skylarkfold/reactor/_http.py
+++ b/skylarkfold/reactor/_http.py
@@ -4,9 +4,8 @@
 
 from collections.abc import Callable
 
-import httptools
-
 from skylarkfold import late_log
+from skylarkfold import lean
 from skylarkfold.reactor import _loop
 from skylarkfold.reactor import _stream
 
@@ -182,7 +181,7 @@
         self._body: list[bytes] = []
         self._headers: dict[str, str] = {}
         self._size = 0
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser = lean.http.HttpResponseParser(self)
         stream.on_data = self._take
         stream.on_close = self._lose
 
@@ -197,7 +196,7 @@
     def _take(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except lean.http.HttpParserError as error:
             _logger.warning('a server sent no HTTP: %s', error)
             self._lose('no HTTP')
 
@@ -280,7 +279,7 @@
         self._answer = answer
         self._path = b''
         self._size = 0
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = lean.http.HttpRequestParser(self)
         self._timer = loop.call_later(_REQUEST_SECONDS, stream.close)
         stream.on_data = self._take
         stream.on_close = self._end
@@ -292,7 +291,7 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except lean.http.HttpParserError:
             self._stream.close('no HTTP')
 
     def _end(self, _reason: str) -> None:
--- a/skylarkfold/reactor/_loop.py
+++ b/skylarkfold/reactor/_loop.py
@@ -4,15 +4,14 @@
 
 from collections.abc import Callable
 import heapq
-import selectors
-import signal
-import socket
+import select
 import time
 
 from skylarkfold import late_log
+from skylarkfold import lean
 
-READ = selectors.EVENT_READ
-WRITE = selectors.EVENT_WRITE
+READ = select.EPOLLIN
+WRITE = select.EPOLLOUT
 
 _logger = late_log.LOGGER
 
@@ -54,19 +53,22 @@
 
     __slots__ = (
         '_is_stopped',
-        '_selector',
+        '_poll',
         '_signals',
         '_timers',
         '_wakeup',
+        '_watched',
         'failures',
         'lag',
     )
 
     def __init__(self) -> None:
-        self._selector = selectors.DefaultSelector()
+        self._poll = select.epoll()
+        # Events and callbacks by descriptor.
+        self._watched: dict[int, tuple[int, Callable]] = {}
         self._timers: list[Timer] = []
         self._signals: dict[int, Callable[[], object]] = {}
-        self._wakeup: tuple[socket.socket, socket.socket] | None = None
+        self._wakeup: tuple[lean.Socket, lean.Socket] | None = None
         self._is_stopped = False
         self.failures = 0
         self.lag = 0.0
@@ -76,7 +78,7 @@
         return time.monotonic()
 
     def watch(
-        self, ready: socket.socket, events: int, callback: Callable
+        self, ready: lean.Socket, events: int, callback: Callable
     ) -> None:
         """Call back when a socket is ready.
 
@@ -85,17 +87,19 @@
         :param events: ``READ``, ``WRITE`` or both.
         :param callback: takes the events that are ready.
         """
-        try:
-            self._selector.modify(ready, events, callback)
-        except KeyError:
-            self._selector.register(ready, events, callback)
-
-    def forget(self, ready: socket.socket) -> None:
+        number = ready.fileno()
+        before = self._watched.get(number)
+        if before is None:
+            self._poll.register(number, events)
+        elif before[0] != events:
+            self._poll.modify(number, events)
+        self._watched[number] = (events, callback)
+
+    def forget(self, ready: lean.Socket) -> None:
         """Stop watching a socket; one that is not watched is ignored."""
-        try:
-            self._selector.unregister(ready)
-        except (KeyError, ValueError):
-            return
+        number = ready.fileno()
+        if self._watched.pop(number, None) is not None:
+            self._poll.unregister(number)
 
     def call_later(
         self, seconds: float, callback: Callable[[], object]
@@ -134,14 +138,14 @@
         if self._wakeup is None:
             self._open_wakeup()
         self._signals[number] = callback
-        signal.signal(number, _ignore_signal)
+        lean.handle_signal(number, _ignore_signal)
 
     def _open_wakeup(self) -> None:
-        receiver, sender = socket.socketpair()
+        receiver, sender = lean.open_pair()
         receiver.setblocking(False)
         sender.setblocking(False)
         self._wakeup = (receiver, sender)
-        signal.set_wakeup_fd(sender.fileno(), warn_on_full_buffer=False)
+        lean.set_wakeup(sender.fileno(), warn_on_full_buffer=False)
         self.watch(receiver, READ, self._take_signals)
 
     def _take_signals(self, _events: int) -> None:
@@ -158,12 +162,13 @@
         """Call back until :meth:`stop` is called; may be called again."""
         self._is_stopped = False
         while not self._is_stopped:
-            ready = self._selector.select(self._find_wait())
+            ready = self._poll.poll(self._find_wait())
             # Timers that fall due while the callbacks run wait for the
             # next turn: what they watch for may have arrived meanwhile.
             due = self._take_due()
-            for key, events in ready:
-                self._call(key.data, events)
+            watched = [(*self._watched[at], found) for at, found in ready]
+            for events, callback, found in watched:
+                self._call(callback, _select(events, found))
             for timer in due:
                 if timer.callback is not None:
                     self._call(timer.callback)
@@ -195,10 +200,23 @@
     def close(self) -> None:
         """Give its descriptors back."""
         if self._wakeup is not None:
-            signal.set_wakeup_fd(-1)
+            lean.set_wakeup(-1)
             for each in self._wakeup:
                 each.close()
-        self._selector.close()
+        self._poll.close()
+
+
+def _select(wanted: int, found: int) -> int:
+    """Tell which of the events that are watched for are there.
+
+    :param wanted: those that are watched for.
+    :param found: what the kernel found; an end or an error is a reason to
+        read and to write.
+    :returns: the events.
+    """
+    if found & ~(READ | WRITE):
+        return wanted
+    return wanted & found
 
 
 def _ignore_signal(_number: int, _frame: object) -> None:
--- a/skylarkfold/reactor/_stream.py
+++ b/skylarkfold/reactor/_stream.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Callable
 import errno
-import socket
 
 from skylarkfold import late_log
+from skylarkfold import lean
 from skylarkfold.reactor import _loop
 
 _PORTION_BYTES = 64 * 1024
@@ -46,7 +46,7 @@
     def __init__(
         self,
         loop: _loop.Loop,
-        connection: socket.socket,
+        connection: lean.Socket,
         is_connected: bool = True,
     ) -> None:
         self._loop = loop
@@ -58,7 +58,7 @@
         self.on_open: Callable[[], object] = _do_nothing
         self.on_data: Callable[[bytes], object] = _do_nothing
         self.on_close: Callable[[str], object] = _do_nothing
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.setsockopt(lean.IPPROTO_TCP, lean.TCP_NODELAY, 1)
         events = _loop.READ if is_connected else _loop.WRITE
         loop.watch(connection, events, self._take_events)
 
@@ -114,7 +114,7 @@
             self.close(_describe(error))
 
     def _end_connecting(self) -> None:
-        code = self._connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        code = self._connection.getsockopt(lean.SOL_SOCKET, lean.SO_ERROR)
         if code:
             raise OSError(code, errno.errorcode.get(code, str(code)))
         self._is_connected = True
@@ -169,8 +169,8 @@
     ) -> None:
         self._loop = loop
         self._accept = accept
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket = lean.Socket(lean.AF_INET, lean.SOCK_STREAM)
+        self._socket.setsockopt(lean.SOL_SOCKET, lean.SO_REUSEADDR, 1)
         self._socket.setblocking(False)
         self._socket.bind(address)
         self._socket.listen(_BACKLOG)
@@ -184,7 +184,7 @@
     def _take_connections(self, _events: int) -> None:
         while True:
             try:
-                connection, _ = self._socket.accept()
+                connection = lean.accept(self._socket)
             except BlockingIOError:
                 return
             except OSError as error:
@@ -208,7 +208,7 @@
     :returns: the stream; its ``on_close`` is called if it can't be
         opened, after this function returned.
     """
-    connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    connection = lean.Socket(lean.AF_INET, lean.SOCK_STREAM)
     connection.setblocking(False)
     code = connection.connect_ex(address)
     stream = Stream(loop, connection, is_connected=False)
--- a/skylarkfold/relay/_retained.py
+++ b/skylarkfold/relay/_retained.py
@@ -10,15 +10,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import Protocol
 
+from skylarkfold import lean
 from skylarkfold.relay import _item
 from skylarkfold.relay import _messages
 from skylarkfold.relay import _settings
 from skylarkfold import shelf
 
 
-class Precedence(Protocol):
+class Precedence(lean.Protocol):
     """Tells which of two forms of an object is the later one."""
 
     def compute_hold(
--- a/skylarkfold/shelf.py
+++ b/skylarkfold/shelf.py
@@ -4,11 +4,12 @@
 
 from collections.abc import Iterable
 
-import typing
 
 import xxhash
 
-if typing.TYPE_CHECKING:
+from skylarkfold import lean
+
+if lean.TYPE_CHECKING:
     from skylarkfold import stored
 
 
