Start: the code of a start comes from one file

Need: a start looks up, opens and reads a hundred modules one by one; until its settings are read that was 664 system calls (strace -c).

Change: the build compiles all that a start loads, the standard library's modules among it, without docstrings, into deps/skylarkfold/start.bundle; deploy/start.py finds modules there first. What is not in it, and all of it if it is torn, missing or another interpreter's, is imported as ever. Nothing asserts; nothing reads docstrings. measure start runs from such a build: a tree without byte code, as where PYTHONDONTWRITEBYTECODE is set, compiled everything anew at each start (0.28 s).

Not run: the whole build command, since its first part needs the network.

--- a/skylarkfold/lean.py
+++ b/skylarkfold/lean.py
@@ -3,7 +3,7 @@
 After a restart of everything callers wait for each millisecond of
 processor time that an instance takes until it is ready. ``socket``,
 ``signal``, ``json`` and ``httptools`` are loaded for little that is written
-in C, and bring ``enum``, ``re``, ``selectors`` and ``typing`` with them: 63
+in C, and bring ``enum``, ``re``, ``selectors`` and ``typing`` with them: 53
 of the 169 million instructions of all imports. What an instance needs until
 it is ready comes from here in their place; this is the one module that
 knows how they are made up inside. What is needed only later is imported
--- a/skylarkfold/measure/start.py
+++ b/skylarkfold/measure/start.py
@@ -3,14 +3,16 @@
 Whole processes, in turn within one run: the interpreter alone, the event
 loop's libraries, the entry daemon's modules, and an instance on the users'
 platform from its first instruction until it says that it is ready, beside
-a store of its own on loopback.
+a store of its own on loopback. The instance runs from a build, as deployed.
 """
 
 from __future__ import annotations
 
+import compileall
 import dataclasses
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import statistics
@@ -64,10 +66,12 @@
     :returns: one result a kind.
     """
     taken: dict[str, list[tuple[float, float]]] = {}
-    for _ in range(rounds):
-        for name, code in _SHOTS.items():
-            taken.setdefault(name, []).append(_run(code))
-        taken.setdefault(INSTANCE, []).append(_run_instance())
+    with tempfile.TemporaryDirectory() as scratch:
+        build = _build(pathlib.Path(scratch))
+        for _ in range(rounds):
+            for name, code in _SHOTS.items():
+                taken.setdefault(name, []).append(_run(code, build))
+            taken.setdefault(INSTANCE, []).append(_run_instance(build))
     base = _median(taken['interpreter'], 0)
     return [
         StartResult(
@@ -85,10 +89,31 @@
     return statistics.median(each[place] for each in readings)
 
 
-def _run(code: str) -> tuple[float, float]:
+def _build(folder: pathlib.Path) -> dict[str, str]:
+    """Do what a build does after the dependencies are there.
+
+    :param folder: where to.
+    :returns: the environment of processes that are started from it.
+    """
+    package = _ROOT / 'skylarkfold'
+    shutil.copytree(
+        package,
+        folder / package.name,
+        ignore=shutil.ignore_patterns('__pycache__', 'tests'),
+    )
+    compileall.compile_dir(folder, quiet=1)
+    places = [str(folder), *filter(None, sys.path)]
+    environment = dict(os.environ, PYTHONPATH=os.pathsep.join(places))
+    command = [sys.executable, '-S', '-P', str(_ROOT / 'deploy/bundle.py')]
+    subprocess.run(command, env=environment, check=True)
+    return environment
+
+
+def _run(code: str, environment: dict[str, str]) -> tuple[float, float]:
     shown = "; print(open('/proc/self/status').read())"
     process = subprocess.Popen(
-        [sys.executable, '-S', '-c', _find_modules() + code + shown],
+        [sys.executable, '-S', '-P', '-c', code + shown],
+        env=environment,
         stdout=subprocess.PIPE,
     )
     status = process.stdout.read().decode()
@@ -96,11 +121,6 @@
     return _wait(process), _read_peak(status)
 
 
-def _find_modules() -> str:
-    paths = [str(_ROOT), *sys.path]
-    return f'import sys; sys.path[:] = {paths!r}; '
-
-
 def _wait(process: subprocess.Popen) -> float:
     """Wait for a process and tell what processor time it took."""
     _, status, used = os.wait4(process.pid, 0)
@@ -125,7 +145,7 @@
     return 0.0
 
 
-def _run_instance() -> tuple[float, float]:
+def _run_instance(build: dict[str, str]) -> tuple[float, float]:
     loop = reactor.Loop()
     store = packets.ObjectStore()
     store.put(
@@ -137,26 +157,25 @@
     with tempfile.TemporaryDirectory() as scratch:
         folder = pathlib.Path(scratch)
         try:
-            return _start_instance(loop, server, folder)
+            return _start_instance(loop, server, folder, build)
         finally:
             server.close()
             loop.close()
 
 
 def _start_instance(
-    loop: reactor.Loop, server: packets.StoreServer, folder: pathlib.Path
+    loop: reactor.Loop,
+    server: packets.StoreServer,
+    folder: pathlib.Path,
+    build: dict[str, str],
 ) -> tuple[float, float]:
     path = folder / 'instance.settings'
     port = server.address[1]
     packets.write_settings(
         path, 'one', 'a', '127.0.0.9', port, [], server.address
     )
-    environment = dict(
-        os.environ,
-        SKYLARKFOLD_CONFIG=str(path),
-        PYTHONPATH=os.pathsep.join([str(_ROOT), *filter(None, sys.path)]),
-    )
-    command = [sys.executable, '-S', '-m', 'skylarkfold.platform']
+    environment = dict(build, SKYLARKFOLD_CONFIG=str(path))
+    command = [sys.executable, '-S', '-P', str(_ROOT / 'deploy/start.py')]
     process = subprocess.Popen(
         command, env=environment, stdout=subprocess.DEVNULL
     )
--- a/skylarkfold/platform/__main__.py
+++ b/skylarkfold/platform/__main__.py
@@ -14,6 +14,7 @@
 import gc
 import os
 import sys
+import types
 
 from skylarkfold import datagram
 from skylarkfold import errors
@@ -51,15 +52,24 @@
     return 0
 
 
+def load() -> tuple[types.ModuleType, types.ModuleType]:
+    """Load the rest of the program.
+
+    :returns: the daemon, and the translation of the platform's bytes.
+    """
+    from skylarkfold import forwarder
+    from skylarkfold.platform import _adapter
+
+    return forwarder, _adapter
+
+
 def _serve(
     settings: machine.MachineSettings,
     file: machine.SettingsFile,
     own_path: str,
     packets: lean.Socket,
 ) -> None:
-    from skylarkfold import forwarder
-    from skylarkfold.platform import _adapter
-
+    forwarder, _adapter = load()
     own = forwarder.read_own_settings(own_path)
     adapter = _adapter.Adapter(settings)
     forwarder.Forwarder(settings, file, own, adapter, packets).run()
--- a/skylarkfold/platform/check.py
+++ b/skylarkfold/platform/check.py
@@ -10,9 +10,9 @@
 from skylarkfold import forwarder
 from skylarkfold import machine
 
-# What the deploy file says of a role's own settings: they stand after the
-# module's name.
-_MODULE = 'skylarkfold.platform'
+# What starts an instance: a script, or a module of this name. A role's own
+# settings stand after it.
+_PROGRAMS = ('deploy/start.py', 'skylarkfold.platform')
 
 
 def check(path: str, kind: str) -> str:
@@ -54,15 +54,16 @@
     if not isinstance(role, dict):
         raise errors.SettingsError('a table is wanted', path, place)
     words = str(role.get('run', '')).split()
-    if _MODULE not in words:
-        reason = f'it does not run {_MODULE}'
+    program = next((each for each in words if each in _PROGRAMS), None)
+    if program is None:
+        reason = f'it runs none of {", ".join(_PROGRAMS)}'
         raise errors.SettingsError(reason, path, f'{place}.run')
     root = pathlib.Path(path).parent.parent
     template = str(role.get('template', ''))
     if not template or not (root / template).is_file():
         reason = 'it names no template of this repository'
         raise errors.SettingsError(reason, path, f'{place}.template')
-    own = words[words.index(_MODULE) + 1 :]
+    own = words[words.index(program) + 1 :]
     metrics = str(role.get('metrics', ''))
     settings = forwarder.OwnSettings()
     if own:
