Platform: values of objects are measured together

Cause: each of 3,800 entries was packed alone to see whether peers could be sent it: a fifth of reading a listing.

Change: 32 at a time; each alone only where these are larger together than one may be, or can't be packed. What is left out is the same.

--- a/skylarkfold/platform/_store.py
+++ b/skylarkfold/platform/_store.py
@@ -36,6 +36,8 @@
 # The most that an object of a topic is as peers are sent it; an entry of an
 # upstream takes 200 bytes, and each instance holds 3,800 of them.
 _MOST_BYTES = {_objects.UPSTREAMS_TOPIC: 16 * 1024}
+# Objects that are measured at once: half of that as a rule.
+_CHECKED_ITEMS = 32
 
 
 class StoreClient:
@@ -263,10 +265,28 @@
                     _complaints.OBJECT, self._topic, 0, error.reason
                 )
                 continue
-            self._check_value(item)
             items.append(item)
+        for begin in range(0, len(items), _CHECKED_ITEMS):
+            self._check_values(items[begin : begin + _CHECKED_ITEMS])
         return items
 
+    def _check_values(self, items: list[relay.Item]) -> None:
+        """Empty values that peers could not be sent.
+
+        :param items: some objects. If all of them together are no larger
+            than one may be, none is looked at alone.
+        """
+        values = [each.value for each in items if each.value is not None]
+        try:
+            size = relay.measure_values(values)
+            if size <= _MOST_BYTES.get(self._topic, size):
+                return
+        except errors.DecodeError:
+            # One of them at least is looked for below.
+            pass
+        for item in items:
+            self._check_value(item)
+
     def _check_value(self, item: relay.Item) -> None:
         """Empty a value that peers could not be sent.
 
@@ -275,7 +295,7 @@
         if item.value is None:
             return
         try:
-            size = relay.measure_value(item.value)
+            size = relay.measure_values([item.value])
             if size <= _MOST_BYTES.get(self._topic, size):
                 return
             reason = 'the value is too large'
--- a/skylarkfold/relay/__init__.py
+++ b/skylarkfold/relay/__init__.py
@@ -14,7 +14,7 @@
 from skylarkfold.relay._codec import encode_beacon
 from skylarkfold.relay._codec import encode_fetch
 from skylarkfold.relay._codec import encode_page
-from skylarkfold.relay._codec import measure_value
+from skylarkfold.relay._codec import measure_values
 from skylarkfold.relay._core import RelayCore
 from skylarkfold.relay._effect import AbandonCall
 from skylarkfold.relay._effect import CallStore
@@ -66,5 +66,5 @@
     'encode_beacon',
     'encode_fetch',
     'encode_page',
-    'measure_value',
+    'measure_values',
 ]
--- a/skylarkfold/relay/_codec.py
+++ b/skylarkfold/relay/_codec.py
@@ -191,17 +191,18 @@
     return len(lean.msgpack.packb(_list(items)))
 
 
-def measure_value(value: dict[str, object]) -> int:
-    """Tell how large an object's value is in a message.
+def measure_values(values: list[dict[str, object]]) -> int:
+    """Tell how large objects' values are in a message.
 
-    :param value: the value.
+    :param values: the values.
     :returns: bytes.
-    :raises DecodeError: if no message can hold it: numbers beyond 64 bits,
-        characters that no text may hold, or lists in lists without end.
+    :raises DecodeError: if no message can hold one of them: numbers beyond
+        64 bits, characters that no text may hold, or lists in lists without
+        end.
     """
     try:
-        # As deep as it stands in a beacon.
-        return len(lean.msgpack.packb([[[[value]]]]))
+        # As deep as they stand in a beacon.
+        return len(lean.msgpack.packb([[[values]]]))
     except (ArithmeticError, ValueError, RecursionError) as error:
         raise errors.DecodeError(type(error).__name__) from None
 
