Affinity: the first list of many upstreams is one line

Change: above 256 the first list is said in one line, by zone; later changes have a line each as before, and so has a first list of fewer.

At 75 upstreams nothing changes.

--- a/skylarkfold/affinity/_presence.py
+++ b/skylarkfold/affinity/_presence.py
@@ -17,6 +17,9 @@
 from skylarkfold import revision as revisions
 
 _NEVER = float('-inf')
+# More upstreams than these are said in one line when a start first hears of
+# them: lines are held then, 4,096 at most, and callers wait.
+_MOST_SAID = 256
 
 
 class Presence:
@@ -136,11 +139,15 @@
     def _apply(self, now: float) -> list[object]:
         effects: list[object] = []
         ended: dict[_standing.Standing, float] = {}
+        is_first = not self._directory
         changes = self._directory.replace(now, self._list_served())
         self._mark_evacuated()
         self._peer_loads.apply()
+        if is_first and len(changes) > _MOST_SAID:
+            effects.append(_record_list(changes))
+        else:
+            effects += map(_record_change, changes)
         for change in changes:
-            effects.append(_record_change(change))
             if change.kind == _directory.Change.LAPSED:
                 change.standing.present_at = self._present_at
                 effects += self._health.take_lapse(now, change.standing)
@@ -197,6 +204,15 @@
         return present_at - self._settings.entry_seconds
 
 
+def _record_list(changes: list[_directory.EntryChange]) -> _effect.Record:
+    zones: dict[str, int] = {}
+    for change in changes:
+        zone = change.standing.upstream.zone
+        zones[zone] = zones.get(zone, 0) + 1
+    details = {'upstreams': len(changes), 'zones': zones}
+    return _effect.Record('upstream', 'listed', details=details)
+
+
 def _record_change(change: _directory.EntryChange) -> _effect.Record:
     standing = change.standing if change.former is None else change.former
     upstream = change.standing.upstream
