Tests: a library that comes into a start unseen fails

A list of what is loaded until an instance is ready, with what each is for, beyond what the interpreter loads itself.

--- a/skylarkfold/tests/platform/test_start.py
+++ b/skylarkfold/tests/platform/test_start.py
@@ -55,6 +55,39 @@
     'typing',
     'warnings',
 )
+# All that may be there beside what is ours, with parts of packages and what
+# is written in C under a library's name. Whatever comes is to be weighed.
+_NEEDED = {
+    '__future__': 'the language',
+    '_json': 'objects and settings',
+    '_socket': 'packets',
+    'bisect': 'histograms',
+    'collections': 'msgpack, too',
+    'cython_runtime': 'httptools and msgpack',
+    'datetime': 'msgpack, of it what is written in C',
+    'errno': 'streams',
+    'functools': 'overlay',
+    'gc': 'the collector, which is off',
+    'heapq': 'timers',
+    'httptools': 'the store and readiness',
+    'itertools': 'collections',
+    'keyword': 'collections',
+    'math': 'ages',
+    'msgpack': 'peers',
+    'operator': 'collections',
+    'reprlib': 'collections',
+    'select': 'the loop',
+    'struct': 'packets',
+    'types': 'functools',
+    'xxhash': 'placement',
+    'zlib': 'pages of peers',
+}
+_INTERPRETER = """
+import os
+import sys
+
+os.write(1, ' '.join(sys.modules).encode())
+"""
 
 
 class StartTest(testtools.TestCase):
@@ -101,6 +134,25 @@
         process.kill()
         return process.stdout.read().decode().split()
 
+    def list_bare(self):
+        """List what the interpreter itself has loaded."""
+        command = [sys.executable, '-S', '-c', _INTERPRETER]
+        found = subprocess.run(command, capture_output=True, check=True)
+        return found.stdout.decode().split()
+
+    def test_no_library_is_loaded_unseen(self):
+        names = set(self.list_loaded()) - set(self.list_bare())
+        libraries = {each.partition('.')[0] for each in names}
+        libraries.discard('skylarkfold')
+        unseen = {
+            each
+            for each in libraries
+            if each not in _NEEDED
+            and each.lstrip('_') not in _NEEDED
+            and not each.startswith('_cython')
+        }
+        self.assertEqual(set(), unseen)
+
     def test_what_is_not_needed_for_the_first_packet_is_loaded_later(self):
         loaded = self.list_loaded()
         self.assertIn('skylarkfold.forwarder._daemon', loaded)
