--- a/skylarkfold/affinity/_health.py
+++ b/skylarkfold/affinity/_health.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import collections
-from typing import TYPE_CHECKING
 
 from skylarkfold.affinity import _admission
 from skylarkfold.affinity import _effect
@@ -21,8 +20,9 @@
 from skylarkfold.affinity import _standing
 from skylarkfold.affinity import _suspects
 from skylarkfold.affinity import _tally
+from skylarkfold import lean
 
-if TYPE_CHECKING:
+if lean.TYPE_CHECKING:
     from skylarkfold.affinity import _sharing
 
 _NEVER = float('-inf')
--- a/skylarkfold/affinity/_refusal.py
+++ b/skylarkfold/affinity/_refusal.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from skylarkfold.affinity import _effect
 from skylarkfold.affinity import _ending
 from skylarkfold.affinity import _packet
@@ -11,8 +9,9 @@
 from skylarkfold.affinity import _standing
 from skylarkfold.affinity import _tally
 from skylarkfold.affinity import _work
+from skylarkfold import lean
 
-if TYPE_CHECKING:
+if lean.TYPE_CHECKING:
     from skylarkfold import shares
 
 
--- a/skylarkfold/affinity/_share_switch.py
+++ b/skylarkfold/affinity/_share_switch.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from skylarkfold.affinity import _admission
 from skylarkfold.affinity import _directory
 from skylarkfold.affinity import _health
 from skylarkfold.affinity import _refusal
 from skylarkfold.affinity import _route
+from skylarkfold import lean
 
-if TYPE_CHECKING:
+if lean.TYPE_CHECKING:
     from skylarkfold.affinity import _sharing
     from skylarkfold import shares
 
--- a/skylarkfold/forwarder/_own.py
+++ b/skylarkfold/forwarder/_own.py
@@ -6,20 +6,20 @@
 
 from __future__ import annotations
 
-import json
-from typing import TYPE_CHECKING
-
 from skylarkfold import affinity
 from skylarkfold import errors
 from skylarkfold import files
+from skylarkfold import lean
 from skylarkfold import machine
 from skylarkfold import relay
 from skylarkfold import room as rooms
 
-if TYPE_CHECKING:
+if lean.TYPE_CHECKING:
     from skylarkfold import shares
 
 _COMMENT = '//'
+# The section whose tables name networks.
+_NETWORKS = '"shares"'
 _MOST_PORT = 65535
 # Of an instance's link: the rest is for its callers.
 _SERVE_SHARE = 0.5
@@ -152,7 +152,7 @@
         for line in text.split('\n')
     ]
     try:
-        fields = json.loads('\n'.join(lines), object_pairs_hook=_build_object)
+        fields = _parse('\n'.join(lines))
     except (ValueError, RecursionError) as error:
         raise errors.SettingsSyntaxError(str(error), source) from None
     _check_object(fields, source, '$')
@@ -198,6 +198,15 @@
     __slots__ = ('twice',)
 
 
+def _parse(text: str) -> object:
+    """Read JSON; networks that are named twice contradict one another."""
+    if _NETWORKS not in text:
+        return lean.parse_json(text)
+    import json
+
+    return json.loads(text, object_pairs_hook=_build_object)
+
+
 def _build_object(pairs: list[tuple[str, object]]) -> _Object:
     built = _Object(pairs)
     names = [name for name, _ in pairs]
@@ -208,7 +217,7 @@
 def _check_object(value: object, source: str, path: str) -> None:
     if not isinstance(value, dict):
         raise errors.SettingsError('an object is wanted', source, path)
-    for name in value.twice:
+    for name in getattr(value, 'twice', ()):
         raise errors.DuplicateError(
             'it stands twice', source, f'{path}.{name}'
         )
--- a/skylarkfold/platform/_store.py
+++ b/skylarkfold/platform/_store.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import json
-import re
-import string
 
 from skylarkfold import errors
+from skylarkfold import lean
 from skylarkfold.platform import _complaints
 from skylarkfold.platform import _fields
 from skylarkfold.platform import _objects
@@ -17,7 +15,9 @@
 
 Answered = Callable[[relay.Answer], object]
 
-_PLAIN = frozenset(string.ascii_letters + string.digits + '-._~')
+_PLAIN = frozenset(
+    'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~'
+)
 
 _OK = 200
 _GONE = 410
@@ -27,7 +27,7 @@
 _REFUSALS = (429, 503)
 
 # Texts, which may hold brackets, and brackets.
-_NESTING = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]')
+_NESTING = r'"(?:[^"\\]|\\.)*"|[\[\]{}]'
 _OPENING = ('[', '{')
 _CLOSING = (']', '}')
 # An answer, its list, an object and its entry take four of these; the
@@ -36,6 +36,8 @@
 # The most that an object of a topic is as peers are sent it; an entry of an
 # upstream takes 200 bytes, and each instance holds 3,800 of them.
 _MOST_BYTES = {_objects.UPSTREAMS_TOPIC: 16 * 1024}
+# Objects that are measured at once: half of that as a rule.
+_CHECKED_ITEMS = 32
 
 
 class StoreClient:
@@ -175,12 +177,12 @@
 
 def _parse(body: bytes) -> object:
     try:
-        return json.loads(body)
+        return lean.parse_json(body)
     except (UnicodeDecodeError, RecursionError):
         # Bytes that are no text become characters that no text may hold:
         # only the objects that have them are unusable then.
         text = body.decode('utf-8', 'surrogateescape')
-        return json.loads(_flatten(text))
+        return lean.parse_json(_flatten(text))
 
 
 def _flatten(text: str) -> str:
@@ -189,9 +191,12 @@
     :param text: JSON.
     :returns: JSON that the library reads, whoever wrote it.
     """
+    # Hardly any answer needs it, and each start would pay for it.
+    import re
+
     parts = []
     depth = begin = 0
-    for found in _NESTING.finditer(text):
+    for found in re.finditer(_NESTING, text):
         mark = found.group()
         if mark in _OPENING:
             depth += 1
@@ -260,10 +265,28 @@
                     _complaints.OBJECT, self._topic, 0, error.reason
                 )
                 continue
-            self._check_value(item)
             items.append(item)
+        for begin in range(0, len(items), _CHECKED_ITEMS):
+            self._check_values(items[begin : begin + _CHECKED_ITEMS])
         return items
 
+    def _check_values(self, items: list[relay.Item]) -> None:
+        """Empty values that peers could not be sent.
+
+        :param items: some objects. If all of them together are no larger
+            than one may be, none is looked at alone.
+        """
+        values = [each.value for each in items if each.value is not None]
+        try:
+            size = relay.measure_values(values)
+            if size <= _MOST_BYTES.get(self._topic, size):
+                return
+        except errors.DecodeError:
+            # One of them at least is looked for below.
+            pass
+        for item in items:
+            self._check_value(item)
+
     def _check_value(self, item: relay.Item) -> None:
         """Empty a value that peers could not be sent.
 
@@ -272,7 +295,7 @@
         if item.value is None:
             return
         try:
-            size = relay.measure_value(item.value)
+            size = relay.measure_values([item.value])
             if size <= _MOST_BYTES.get(self._topic, size):
                 return
             reason = 'the value is too large'
--- a/skylarkfold/room/_packet.py
+++ b/skylarkfold/room/_packet.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import typing
+from skylarkfold import lean
 
 
-class CallerPacket(typing.Protocol):
+class CallerPacket(lean.Protocol):
     """A packet of a flow.
 
     :ivar flow: the flow's key.
