--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -6,6 +6,7 @@
 
 from skylarkfold.affinity import _admission
 from skylarkfold.affinity import _binding
+from skylarkfold.affinity import _certainty
 from skylarkfold.affinity import _directory
 from skylarkfold.affinity import _effect
 from skylarkfold.affinity import _ending
@@ -117,7 +118,8 @@
         self.take_lost = words.take_lost
         self.take_probe = self._suspects.take_probe
         self.note_present = self._presence.note_present
-        self._confirmed_at = float('-inf')
+        self._certainty = _certainty.Certainty(settings)
+        self.note_confirmed = self._certainty.note
         self._next_active = float('-inf')
         self._next_dormant = float('-inf')
 
@@ -185,13 +187,6 @@
         effects = self._presence.set_evacuations(now, evacuations)
         return effects + self._release(now)
 
-    def note_confirmed(self, now: float) -> None:
-        """Note that the routes were the newest a moment ago.
-
-        :param now: when they were.
-        """
-        self._confirmed_at = max(self._confirmed_at, now)
-
     def take_packet(self, now: float, packet: _packet.Packet) -> list[object]:
         """Decide on one packet of a caller.
 
@@ -357,18 +352,12 @@
         """
         if not self.is_ready:
             return False
-        return flow.is_routed or self._is_certain(now)
-
-    def _is_certain(self, now: float) -> bool:
-        """Tell whether all routes that there are were known just now."""
-        return now - self._confirmed_at <= self._settings.verdict_seconds
+        return flow.is_routed or self._certainty.is_certain(now)
 
     def _refuse_route(
         self, now: float, packet: _packet.Packet
     ) -> list[object]:
-        # A route may be too new for this instance: only fresh knowledge
-        # may say that there is none.
-        if not self._is_certain(now):
+        if not self._certainty.is_certain(now):
             return self._drop(Reason.ROUTE_UNKNOWN)
         return self._refuse(packet, Reason.NO_ROUTE)
 
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -81,7 +81,7 @@
         self._affinity = affinity.AffinityCore(
             settings.zone, own.affinity, room
         )
-        self._questions = _questions.Questions()
+        self._questions = _questions.Questions(self._reporter)
         self._relay = relay.RelayCore(
             settings.name,
             settings.zone,
@@ -115,10 +115,10 @@
             affinity.Forward: self._forward,
             affinity.Reset: self._reset,
             affinity.Drop: _ignore,
-            affinity.AskPeers: self._ask_peers,
+            affinity.AskPeers: self._questions.ask,
             affinity.Probe: self._probe,
             affinity.Record: self._reporter.record,
-            affinity.TellPeers: self._tell_peers,
+            affinity.TellPeers: self._questions.tell,
             relay.AbandonCall: self._store.abandon,
             relay.CallStore: self._store.call,
             relay.Changed: self._store.take_change,
@@ -226,10 +226,7 @@
 
     def _follow_up(self, now: float) -> None:
         """Ask peers, and look again when something is due."""
-        if not self._questions.is_empty:
-            doubts, lost = self._questions.take()
-            announcer = self._relay.announcer
-            self._perform(announcer.tell_zone(now, doubts, lost))
+        self._perform(self._questions.send(now, self._relay.announcer))
         pause = _rhythm.compute_pause(
             now, self._affinity.find_due(now), self._relay.is_ready
         )
@@ -262,13 +259,6 @@
             # is lost, as it may be on any link, and its sender repeats.
             self.count(f'{_metrics.SEND_FAILED}.{error.errno}')
 
-    def _ask_peers(self, wanted: affinity.AskPeers) -> None:
-        self.count(_metrics.PEERS_ASKED)
-        self._questions.doubt(wanted.upstream.incarnation)
-
-    def _tell_peers(self, wanted: affinity.TellPeers) -> None:
-        self._questions.lose(wanted.upstream.incarnation)
-
     def _take_lost(self, wanted: relay.TakeLost) -> None:
         now = self._loop.now()
         self._perform(self._affinity.take_lost(now, wanted.incarnations))
--- a/skylarkfold/forwarder/_questions.py
+++ b/skylarkfold/forwarder/_questions.py
@@ -2,45 +2,53 @@
 
 from __future__ import annotations
 
+from skylarkfold import affinity
+from skylarkfold.forwarder import _metrics
+from skylarkfold.forwarder import _reporter
+from skylarkfold import relay
+
 
 class Questions:
     """Gathers it, so that one beacon carries what a moment brings.
 
     A zone that falls silent, or a link that loses packets, raises dozens of
     questions at once; a beacon each would be a load of its own.
+
+    :param reporter: counts questions.
     """
 
-    __slots__ = ('_doubts', '_lost')
+    __slots__ = ('_doubts', '_lost', '_reporter')
 
-    def __init__(self) -> None:
+    def __init__(self, reporter: _reporter.Reporter) -> None:
+        self._reporter = reporter
         self._doubts: dict[int, None] = {}
         self._lost: dict[int, None] = {}
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether there is nothing to ask or tell."""
-        return not self._doubts and not self._lost
-
-    def doubt(self, incarnation: int) -> None:
+    def ask(self, wanted: affinity.AskPeers) -> None:
         """Have peers asked whether they heard an upstream.
 
-        :param incarnation: of the upstream.
+        :param wanted: names the upstream.
         """
-        self._doubts[incarnation] = None
+        self._reporter.count(_metrics.PEERS_ASKED)
+        self._doubts[wanted.upstream.incarnation] = None
 
-    def lose(self, incarnation: int) -> None:
+    def tell(self, wanted: affinity.TellPeers) -> None:
         """Have peers told that an upstream was found out of reach.
 
-        :param incarnation: of the upstream.
+        :param wanted: names the upstream.
         """
-        self._lost[incarnation] = None
+        self._lost[wanted.upstream.incarnation] = None
 
-    def take(self) -> tuple[tuple[int, ...], tuple[int, ...]]:
-        """Take all that is to be asked and told.
+    def send(self, now: float, announcer: relay.Announcer) -> list[object]:
+        """Send what has been gathered.
 
-        :returns: incarnations in doubt, and incarnations out of reach.
+        :param now: the time.
+        :param announcer: builds the beacon.
+        :returns: effects; none where there is nothing to ask or tell.
         """
-        taken = tuple(self._doubts), tuple(self._lost)
+        if not self._doubts and not self._lost:
+            return []
+        doubts, lost = tuple(self._doubts), tuple(self._lost)
         self._doubts.clear()
         self._lost.clear()
-        return taken
+        return announcer.tell_zone(now, doubts, lost)
--- a/skylarkfold/relay/__init__.py
+++ b/skylarkfold/relay/__init__.py
@@ -5,6 +5,7 @@
 fleets whose instances hold state for each other.
 """
 
+from skylarkfold.relay._announcer import Announcer
 from skylarkfold.relay._call import Answer
 from skylarkfold.relay._call import Call
 from skylarkfold.relay._call import Status
@@ -40,6 +41,7 @@
 
 __all__ = [
     'AbandonCall',
+    'Announcer',
     'Answer',
     'Beacon',
     'Call',
--- a/skylarkfold/tests/forwarder/test_link.py
+++ b/skylarkfold/tests/forwarder/test_link.py
@@ -2,9 +2,11 @@
 
 import testtools
 
+from skylarkfold import affinity
 from skylarkfold.forwarder import _link
 from skylarkfold.forwarder import _questions
 from skylarkfold import room
+from skylarkfold.tests.affinity import samples
 
 RATE = 10_000.0
 
@@ -23,13 +25,35 @@
         self.assertAlmostEqual(0.5, own.compute_link_share(1.0))
 
 
+class Announcer:
+    def __init__(self):
+        self.told = []
+
+    def tell_zone(self, now, doubts, lost):
+        self.told.append((now, doubts, lost))
+        return ['beacon']
+
+
+class Reporter:
+    def __init__(self):
+        self.counted = []
+
+    def count(self, name):
+        self.counted.append(name)
+
+
 class QuestionsTest(testtools.TestCase):
     def test_what_a_moment_brings_goes_in_one_beacon(self):
-        questions = _questions.Questions()
-        self.assertTrue(questions.is_empty)
-        for number in (7, 9, 7):
-            questions.doubt(number)
-        questions.lose(8)
-        self.assertFalse(questions.is_empty)
-        self.assertEqual(((7, 9), (8,)), questions.take())
-        self.assertTrue(questions.is_empty)
+        announcer, reporter = Announcer(), Reporter()
+        questions = _questions.Questions(reporter)
+        self.assertEqual([], questions.send(1.0, announcer))
+        first, second = (samples.build_upstream(each) for each in (7, 9))
+        for upstream in (first, second, first):
+            questions.ask(affinity.AskPeers(upstream))
+        questions.tell(affinity.TellPeers(second))
+        self.assertEqual(['beacon'], questions.send(2.0, announcer))
+        self.assertEqual([], questions.send(3.0, announcer))
+        doubts = (first.incarnation, second.incarnation)
+        told = [(2.0, doubts, (second.incarnation,))]
+        self.assertEqual(told, announcer.told)
+        self.assertEqual(['peers.asked'] * 3, reporter.counted)
