--- a/skylarkfold/soak/__main__.py
+++ b/skylarkfold/soak/__main__.py
@@ -27,6 +27,7 @@
     restarts: bool = True,
     evacuations: bool = True,
     returns: bool = True,
+    presses: bool = True,
     instances: int = soak.INSTANCES,
     keep: str = '',
 ) -> None:
@@ -41,6 +42,7 @@
         writers leave entries.
     :param evacuations: zones are emptied and taken back.
     :param returns: the store comes back from older copies.
+    :param presses: callers press and links lose packets.
     :param instances: how many processes there are, over three zones.
     :param keep: a folder for settings and logs; one that is thrown away
         where left out.
@@ -62,6 +64,7 @@
                 restarts,
                 evacuations,
                 returns,
+                presses,
                 instances,
             )
         word = 'broken' if result.broken else 'held'
--- a/skylarkfold/soak/_director.py
+++ b/skylarkfold/soak/_director.py
@@ -10,6 +10,7 @@
 from skylarkfold import reactor
 from skylarkfold.soak import _plan
 from skylarkfold.soak import _returns
+from skylarkfold.soak import _session
 from skylarkfold.soak import _world
 from skylarkfold.standin import packets
 
@@ -28,6 +29,11 @@
     {'born': 'now'},
     {'service': ['desk']},
 )
+# One caller beside the others: sessions, how much oftener each asks.
+_PRESSING_SESSIONS = 30
+_PRESSING_HURRY = 8.0
+# Of the packets to an instance whose link is full.
+_LOSS_SHARE = 0.4
 _VERSION = re.compile(r'^skylarkfold_version (\S+)$', re.MULTILINE)
 
 
@@ -77,6 +83,8 @@
             'entries-foreign': self._write_foreign,
             'zone-evacuated': self._evacuate,
             'evacuations-foreign': self._write_foreign_evacuations,
+            'caller-presses': self._press,
+            'link-loses': self._lose,
             'store-returns': lambda step: self._returns.come_back(
                 step.seconds
             ),
@@ -135,6 +143,22 @@
         (instance,) = self._choose(self._world.instances[:4], 0.01)
         instance.send(signal.SIGTERM)
 
+    def _press(self, step: _plan.Step) -> None:
+        world = self._world
+        caller = world.random.choice(world.callers)
+        until = world.loop.now() + step.seconds
+        for _ in range(round(step.share * _PRESSING_SESSIONS)):
+            _session.Session(world, caller, until, _PRESSING_HURRY).begin()
+
+    def _lose(self, step: _plan.Step) -> None:
+        fabric = self._world.fabric
+        for instance in self._choose(self._world.instances, step.share):
+            fabric.set_loss(instance.name, _LOSS_SHARE)
+            self._world.loop.call_later(
+                step.seconds,
+                functools.partial(fabric.set_loss, instance.name, 0.0),
+            )
+
     def _hangup(self, step: _plan.Step) -> None:
         for instance in self._choose(self._world.instances, step.share):
             instance.send(signal.SIGHUP)
--- a/skylarkfold/soak/_instance.py
+++ b/skylarkfold/soak/_instance.py
@@ -68,7 +68,12 @@
         """
         self._settings = (base_port, seeds, store, zones)
         packets.write_settings(
-            self._path, self.name, self.zone, self.host, *self._settings
+            self._path,
+            self.name,
+            self.zone,
+            self.host,
+            *self._settings,
+            terms=(packets.SHARES_TERM,),
         )
         own = {'metrics_port': self.metrics_address[1]}
         self._own_path.write_text(json.dumps(own))
--- a/skylarkfold/soak/_plan.py
+++ b/skylarkfold/soak/_plan.py
@@ -52,6 +52,14 @@
 # Drawn apart as well: the store comes back from an older copy.
 RETURNS = ('store-returns',)
 
+# Drawn apart as well: hard load. Callers' packets to some instances get lost,
+# as on a link that is full, and one caller asks for more than all others. No
+# promise is suspended by them.
+PRESSES = (
+    'caller-presses',
+    'link-loses',
+)
+
 
 class Step:
     """One event.
@@ -130,6 +138,23 @@
     return sorted(steps, key=lambda step: step.at)
 
 
+def draw_presses(seed: int, seconds: float) -> list[Step]:
+    """Draw hard load, several kinds of which may overlap.
+
+    :param seed: the seed; the same one draws the same steps.
+    :param seconds: how long traffic lasts.
+    :returns: steps in order.
+    """
+    return _draw_steps(
+        random.Random(f'{seed}/presses'),
+        PRESSES,
+        counts=(1, 3),
+        begins=(1.0, 0.5 * seconds),
+        lengths=(1.0, 0.25 * seconds),
+        shares=(0.2, 0.4, 0.7),
+    )
+
+
 def draw_plan(seed: int, seconds: float, planned_only: bool) -> list[Step]:
     """Draw a plan.
 
--- a/skylarkfold/soak/_run.py
+++ b/skylarkfold/soak/_run.py
@@ -54,6 +54,7 @@
     has_restarts: bool = False,
     has_evacuations: bool = False,
     has_returns: bool = False,
+    has_presses: bool = False,
     instances: int = INSTANCES,
 ) -> Result:
     """Run one seed.
@@ -67,6 +68,7 @@
         names, and other writers leave entries.
     :param has_evacuations: whether zones are emptied and taken back.
     :param has_returns: whether the store comes back from older copies.
+    :param has_presses: whether callers press and links lose packets.
     :param instances: how many there are, over three zones.
     :returns: what it showed.
     """
@@ -77,6 +79,8 @@
         plan += _plan.draw_evacuations(seed, seconds)
     if has_returns:
         plan += _plan.draw_returns(seed, seconds)
+    if has_presses:
+        plan += _plan.draw_presses(seed, seconds)
     return run_plan(plan, seed, folder, seconds, planned_only, instances)
 
 
--- a/skylarkfold/soak/_session.py
+++ b/skylarkfold/soak/_session.py
@@ -7,6 +7,8 @@
 
 _FLOW_REQUESTS = 12
 _RETRIES = 2
+# The pause before each request.
+_PAUSE_SECONDS = (0.05, 0.6)
 
 
 class Session:
@@ -14,11 +16,21 @@
 
     :param world: where they are sent, and who judges them.
     :param caller: who sends them.
+    :param until: when the last one begins.
+    :param hurry: how many times as often as others it asks.
     """
 
-    def __init__(self, world: _world.World, caller: packets.Caller) -> None:
+    def __init__(
+        self,
+        world: _world.World,
+        caller: packets.Caller,
+        until: float = float('inf'),
+        hurry: float = 1.0,
+    ) -> None:
         self._world = world
         self._caller = caller
+        self._until = until
+        self._hurry = hurry
         address, _, may_repeat = world.random.choice(world.routes)
         self._address = address
         self._may_repeat = may_repeat
@@ -27,10 +39,12 @@
 
     def begin(self) -> None:
         """Send the next request after a pause."""
-        if self._world.is_ending or self._world.is_over:
+        world = self._world
+        is_done = world.loop.now() >= self._until
+        if world.is_ending or world.is_over or is_done:
             return
-        pause = self._world.random.uniform(0.05, 0.6)
-        self._world.loop.call_later(pause, self._ask_first)
+        pause = world.random.uniform(*_PAUSE_SECONDS) / self._hurry
+        world.loop.call_later(pause, self._ask_first)
 
     def _ask_first(self) -> None:
         if not self._world.is_ending:
--- a/skylarkfold/soak/_world.py
+++ b/skylarkfold/soak/_world.py
@@ -75,7 +75,7 @@
         self.server.fault = lambda host: self._faulty.get(host, '')
         # What instances take for the store, by their hosts.
         self.ways: dict[str, packets.FaultyRelay] = {}
-        self.fabric = packets.Fabric(self.loop)
+        self.fabric = packets.Fabric(self.loop, random.Random(seed))
         self._folder = folder
         for number, (zone, count) in enumerate(zones.items()):
             self._build_zone(number + 1, zone, count, upstreams)
--- a/skylarkfold/standin/packets/__init__.py
+++ b/skylarkfold/standin/packets/__init__.py
@@ -16,12 +16,14 @@
 from skylarkfold.standin.packets._relay import FaultyRelay
 from skylarkfold.standin.packets._server import StoreServer
 from skylarkfold.standin.packets._settings import build_fields
+from skylarkfold.standin.packets._settings import SHARES_TERM
 from skylarkfold.standin.packets._settings import write_settings
 from skylarkfold.standin.packets._template import fill
 from skylarkfold.standin.packets._upstream import Upstream
 
 __all__ = [
     'ANSWERED',
+    'SHARES_TERM',
     'Caller',
     'Exchange',
     'Fabric',
--- a/skylarkfold/standin/packets/_fabric.py
+++ b/skylarkfold/standin/packets/_fabric.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 
 from skylarkfold import reactor
@@ -22,6 +23,7 @@
         self.packets = packets
         self.ready = ready
         self.misses = _MISSES
+        self.loss = 0.0
 
     @property
     def is_in(self) -> bool:
@@ -32,10 +34,14 @@
     """Sends each packet to an instance in rotation, by its flow's hash.
 
     :param loop: the event loop.
+    :param draw: draws the packets that get lost.
     """
 
-    def __init__(self, loop: reactor.Loop) -> None:
+    def __init__(
+        self, loop: reactor.Loop, draw: random.Random | None = None
+    ) -> None:
         self._loop = loop
+        self._draw = draw or random.Random(0)
         self._targets: dict[str, _Target] = {}
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
@@ -61,6 +67,16 @@
         """Forget an instance."""
         self._targets.pop(name, None)
 
+    def set_loss(self, name: str, share: float) -> None:
+        """Have packets to an instance get lost, as on a full link.
+
+        :param name: its name.
+        :param share: how many of them.
+        """
+        target = self._targets.get(name)
+        if target is not None:
+            target.loss = share
+
     def is_in_rotation(self, name: str) -> bool:
         """Tell whether an instance gets packets."""
         found = self._targets.get(name)
@@ -85,6 +101,8 @@
             return
         hashed = _wire.hash_bytes(f'{source}{address}'.encode())
         target = targets[hashed % len(targets)]
+        if target.loss and self._draw.random() < target.loss:
+            return
         try:
             self._socket.sendto(data, target.packets)
         except OSError:
--- a/skylarkfold/standin/packets/_settings.py
+++ b/skylarkfold/standin/packets/_settings.py
@@ -7,6 +7,8 @@
 
 from skylarkfold.standin.packets import _template
 
+# The term that asks for callers' shares.
+SHARES_TERM = 'pressure'
 # The repository's template, which the platform fills in as well.
 TEMPLATE_PATH = pathlib.Path('deploy') / 'settings.template'
 _ROOT = pathlib.Path(__file__).parent.parent.parent.parent
@@ -21,6 +23,7 @@
     seeds: list[str],
     store: tuple[str, int],
     zones: Iterable[str] = (),
+    terms: Iterable[str] = (),
 ) -> None:
     """Write an instance's settings file.
 
@@ -32,8 +35,11 @@
     :param seeds: hosts of other instances.
     :param store: the store's address.
     :param zones: all availability zones.
+    :param terms: the terms in force, by the platform's names.
     """
     fields = build_fields(name, zone, host, base_port, seeds, store, zones)
+    if terms:
+        fields['contracts'] = list(terms)
     template = (_ROOT / TEMPLATE_PATH).read_text()
     path.write_text(_template.fill(template, fields))
 
--- a/skylarkfold/tests/soak/test_soak.py
+++ b/skylarkfold/tests/soak/test_soak.py
@@ -24,6 +24,7 @@
         has_restarts=False,
         has_evacuations=False,
         has_returns=False,
+        has_presses=False,
     ):
         with tempfile.TemporaryDirectory() as scratch:
             result = soak.run_seed(
@@ -34,6 +35,7 @@
                 has_restarts,
                 has_evacuations,
                 has_returns,
+                has_presses,
             )
         self.assertEqual([], result.broken, f'{result.plan}')
         self.assertGreater(result.outcomes['answered'], 0)
@@ -71,6 +73,22 @@
     def test_returns_from_an_older_copy_break_no_promise(self):
         self.run_seed(5, seconds=LATE_SECONDS, has_returns=True)
 
+    def test_presses_beside_faults_break_no_promise(self):
+        self.run_seed(6, seconds=LATE_SECONDS, has_presses=True)
+
+    def test_a_press_fails_no_request(self):
+        # Packets that get lost are repeated, and what one caller asks beyond
+        # its share takes no other's flow.
+        plan = [
+            _plan.Step(1.0, 'caller-presses', 4.0, 0.4),
+            _plan.Step(2.0, 'link-loses', 3.0, 0.4),
+        ]
+        with tempfile.TemporaryDirectory() as scratch:
+            folder = pathlib.Path(scratch)
+            result = soak.run_plan(plan, 3, folder, LATE_SECONDS)
+        self.assertEqual([], result.broken)
+        self.assertGreater(result.outcomes['answered'], 0)
+
     def test_a_return_fails_no_request(self):
         plan = [
             _plan.Step(1.0, 'drain', 0.0, 0.4),
@@ -127,3 +145,9 @@
             for step in _plan.draw_returns(seed, 20.0)
         }
         self.assertEqual({*_plan.RETURNS}, drawn)
+        drawn = {
+            step.kind
+            for seed in range(20)
+            for step in _plan.draw_presses(seed, 20.0)
+        }
+        self.assertEqual({*_plan.PRESSES}, drawn)
