Start: a build may be moved after its byte code was written

Cause: the bundle named files by where they were built. A build that is run from another place, as under a read-only view of the repository, would not have found C parts and modules that are loaded late, and would not start.

Change: what stands below the dependencies' folder is named from there. The test failed before (a moved build ended with an error) and passes now.

--- a/skylarkfold/bundle.py
+++ b/skylarkfold/bundle.py
@@ -14,7 +14,11 @@
 import marshal
 import sys
 
-_PATH = __file__.rpartition('/')[0] + '/start.bundle'
+_FOLDER = __file__.rpartition('/')[0]
+_PATH = f'{_FOLDER}/start.bundle'
+# Where this package and its dependencies are. A build may be moved: what is
+# there is named from here on.
+_ROOT = _FOLDER.rpartition('/')[0] + '/'
 # Code without docstrings: a sixth less to read. Nothing here asks for them.
 _OPTIMIZE = 2
 _SOURCE = '.py'
@@ -41,7 +45,7 @@
         found = self._codes.get(name)
         if found is None:
             return None
-        origin = found[0]
+        origin = _locate(found[0])
         spec = self._make_spec(name, self, origin=origin)
         folder, _, file = origin.rpartition('/')
         if file == '__init__.py':
@@ -54,10 +58,14 @@
     def exec_module(self, module: object) -> None:
         """Run a module's code; called by the import system."""
         origin, code = self._codes.pop(module.__name__)
-        module.__file__ = origin
+        module.__file__ = _locate(origin)
         exec(marshal.loads(code), module.__dict__)
 
 
+def _locate(origin: str) -> str:
+    return origin if origin.startswith('/') else _ROOT + origin
+
+
 def write(path: str = _PATH) -> int:
     """Write the code of all modules that are loaded now.
 
@@ -71,6 +79,7 @@
         if origin.endswith(_SOURCE):
             with open(origin, 'rb') as file:
                 text = file.read()
+            origin = origin.removeprefix(_ROOT)
             code = compile(
                 text, origin, 'exec', dont_inherit=True, optimize=_OPTIMIZE
             )
--- a/skylarkfold/tests/test_bundle.py
+++ b/skylarkfold/tests/test_bundle.py
@@ -8,6 +8,7 @@
 import marshal
 import os
 import pathlib
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -54,12 +55,13 @@
         self.addCleanup(scratch.cleanup)
         self.path = pathlib.Path(scratch.name) / 'start.bundle'
 
-    def run_alone(self, code):
+    def run_alone(self, code, root=_ROOT):
         """Run code in an interpreter that has loaded nothing yet."""
-        places = [str(_ROOT), *filter(None, sys.path)]
+        others = [each for each in sys.path if each != str(_ROOT)]
+        places = [str(root), *filter(None, others)]
         environment = dict(os.environ, PYTHONPATH=os.pathsep.join(places))
         return subprocess.run(
-            [sys.executable, '-S', '-c', code, str(self.path)],
+            [sys.executable, '-S', '-P', '-c', code, str(self.path)],
             env=environment,
             capture_output=True,
             text=True,
@@ -74,6 +76,20 @@
         self.assertEqual(expected, said)
         self.assertEqual('None', documentation)
 
+    def test_a_build_may_be_moved(self):
+        folder = self.path.parent / 'built'
+        shutil.copytree(
+            _ROOT / 'skylarkfold',
+            folder / 'skylarkfold',
+            ignore=shutil.ignore_patterns('__pycache__', 'tests'),
+        )
+        self.run_alone(_WRITE, folder)
+        moved = folder.rename(self.path.parent / 'moved')
+        said = self.run_alone(_READ, moved)
+        place = str(moved / 'skylarkfold' / 'platform' / '_adapter.py')
+        expected = ['True', _OURS, _OURS, _OURS, place, _USUAL]
+        self.assertEqual(expected, said[:6])
+
     def test_without_it_all_is_loaded_as_ever(self):
         said = self.run_alone(_READ)
         self.assertEqual(['False', _USUAL, _USUAL, _USUAL], said[:4])
