Names: the usual words for modules that needed explaining

Names said little without their module's head. Renamed, nothing else:

- membership: _approach.Approach to _connector.Connector, _outlook.Outlook to _publication.Publication, _learning.Learning to _readiness.Readiness with is_learning for is_active.
- requests: _handing.Handing to _handover.Handover; a key's Standing, which the affinity has for another thing, to KeyState, its field to state.
- flows: _freedom.find_count to _free_count.find.
- soak: the world's ways to store_relays.

Left, since tests, settings, messages or generated pages name them: succession, inheritance, boot, hand_on_*, flows/_handon, flows/_upkeep.

--- a/skylarkfold/flows/_freedom.py
+++ b/skylarkfold/flows/_free_count.py
@@ -8,7 +8,7 @@
 from skylarkfold import service as service_module
 
 
-def find_count(
+def find(
     now: float,
     state: _state.ServiceState,
     settings: _settings.FlowSettings,
--- a/skylarkfold/flows/_proposer.py
+++ b/skylarkfold/flows/_proposer.py
@@ -9,7 +9,7 @@
 
 from skylarkfold import effect
 from skylarkfold import event
-from skylarkfold.flows import _freedom
+from skylarkfold.flows import _free_count
 from skylarkfold.flows import _health
 from skylarkfold.flows import _members
 from skylarkfold.flows import _plan
@@ -206,7 +206,7 @@
             prepared=self._find_prepared(now, state),
             emptied=self._find_emptied(now, state),
             settled=self._find_settled(now, state),
-            free_count=_freedom.find_count(now, state, self._settings),
+            free_count=_free_count.find(now, state, self._settings),
         )
         known = (state.version, situation)
         if proposal.nothing_due == known:
--- a/skylarkfold/membership/_approach.py
+++ b/skylarkfold/membership/_connector.py
@@ -5,14 +5,14 @@
 from skylarkfold import member
 from skylarkfold.membership import _contacts
 from skylarkfold.membership import _identity
-from skylarkfold.membership import _outlook
+from skylarkfold.membership import _publication
 from skylarkfold.membership import _roster
 from skylarkfold.membership import _settings
 
 _State = member.MemberState
 
 
-class Approach:
+class Connector:
     """A few introductions at a time, in turn.
 
     :param settings: the membership's settings.
@@ -46,18 +46,18 @@
         unknown = unknown or self._contacts.list_unknown(known)
         return self._introduce(unknown)
 
-    def reconnect(self, outlook: _outlook.Outlook) -> list[object]:
+    def reconnect(self, publication: _publication.Publication) -> list[object]:
         """Approach lost instances: they may only have been cut off.
 
-        :param outlook: how the members are seen.
+        :param publication: how the members are seen.
         """
-        members = list(outlook.membership.members.values())
+        members = list(publication.membership.members.values())
         lost = [
             each.name
             for each in members
             if each.state is _State.DEAD and each.zone == self._own.zone
         ]
-        for zone, state in outlook.judged.items():
+        for zone, state in publication.judged.items():
             if state is _State.ALIVE or zone == self._own.zone:
                 continue
             names = [each.name for each in members if each.zone == zone]
--- a/skylarkfold/membership/_core.py
+++ b/skylarkfold/membership/_core.py
@@ -10,20 +10,20 @@
 from skylarkfold import event
 from skylarkfold import instance as instance_module
 from skylarkfold import member
-from skylarkfold.membership import _approach
+from skylarkfold.membership import _connector
 from skylarkfold.membership import _contacts
 from skylarkfold.membership import _decision
 from skylarkfold.membership import _detector
 from skylarkfold.membership import _gossip
 from skylarkfold.membership import _heartbeat
 from skylarkfold.membership import _identity
-from skylarkfold.membership import _learning
 from skylarkfold.membership import _ledger
 from skylarkfold.membership import _listing
 from skylarkfold.membership import _messages
-from skylarkfold.membership import _outlook
 from skylarkfold.membership import _probes
 from skylarkfold.membership import _progress
+from skylarkfold.membership import _publication
+from skylarkfold.membership import _readiness
 from skylarkfold.membership import _roster
 from skylarkfold.membership import _settings
 from skylarkfold.membership import _view
@@ -85,18 +85,20 @@
         self._ledger = _ledger.Ledger(
             self._own, self._roster, self._gossip, self._detector
         )
-        self._approach = _approach.Approach(
+        self._connector = _connector.Connector(
             settings, self._own, self._roster, self._contacts
         )
-        self._learning = _learning.Learning(settings)
-        self._outlook = _outlook.Outlook(self._own, view, self._learning)
+        self._readiness = _readiness.Readiness(settings)
+        self._publication = _publication.Publication(
+            self._own, view, self._readiness
+        )
         self._watch = _watch.Watch(
             self._own,
             self._roster,
             self._detector,
             self._probes,
             self._ledger,
-            self._outlook,
+            self._publication,
         )
         self._is_started = False
         self._next_beat = 0.0
@@ -109,7 +111,7 @@
     @property
     def membership(self) -> member.Membership:
         """All members as last published."""
-        return self._outlook.membership
+        return self._publication.membership
 
     @property
     def state(self) -> member.MemberState:
@@ -128,7 +130,9 @@
         published = self.membership.members.get(self._own.name)
         if published is None or published.state is not _State.ALIVE:
             return False
-        return self._own.state is _State.ALIVE and not self._learning.is_active
+        return (
+            self._own.state is _State.ALIVE and not self._readiness.is_learning
+        )
 
     def resolve(self, peer: str) -> endpoint.Endpoint | None:
         """Find where a peer takes streams.
@@ -183,7 +187,7 @@
 
     @_take.register
     def _(self, event_: event.Tick, now: float) -> list[object]:
-        is_woken = self._learning.note_tick(now)
+        is_woken = self._readiness.note_tick(now)
         effects = self._wake(now) if is_woken else []
         if not self._is_started:
             self._begin(now)
@@ -197,7 +201,7 @@
         if self._ledger.is_changed and now >= self._next_publication:
             self._next_publication = now + _PUBLICATION_PAUSE_SECONDS
             self._ledger.is_changed = False
-            effects += self._outlook.publish(now)
+            effects += self._publication.publish(now)
         return effects
 
     @_take.register
@@ -255,7 +259,7 @@
         if known.incarnation > message.fact.incarnation:
             return [*effects, _decision.send_facts(sender, [known])]
         effects += self._hear(known, now)
-        if self._learning.note_met(message.fact):
+        if self._readiness.note_met(message.fact):
             effects.append(self._ask_roster(sender))
         return effects
 
@@ -291,7 +295,7 @@
     def _(
         self, message: _messages.RosterAnswer, sender: str, now: float
     ) -> list[object]:
-        self._learning.note_synced()
+        self._readiness.note_synced()
         return self._ledger.take_roster(message, sender, now)
 
     @_take_message.register
@@ -328,12 +332,12 @@
         )
         effects = self._settle(now)
         effects += self._watch.judge(now)
-        if self._outlook.is_outdated(now):
+        if self._publication.is_outdated(now):
             self._ledger.is_changed = True
         is_urgent, self._is_urgent = self._is_urgent, False
         self._beat_at = now
         return effects + self._heartbeats.send(
-            self._own.fact, self._outlook.neighbours, now, is_urgent
+            self._own.fact, self._publication.neighbours, now, is_urgent
         )
 
     def _is_urgent_now(self, now: float) -> bool:
@@ -343,9 +347,9 @@
     def _settle(self, now: float) -> list[object]:
         is_alone = self._detector.is_isolated(now)
         revision = self._own.fact.revision
-        if not self._learning.settle(now, revision, is_alone):
-            is_stuck = self._learning.is_active and is_alone
-            return self._approach.meet() if is_stuck else []
+        if not self._readiness.settle(now, revision, is_alone):
+            is_stuck = self._readiness.is_learning and is_alone
+            return self._connector.meet() if is_stuck else []
         self._ledger.is_changed = True
         if self._own.state is _State.JOINING:
             self._ledger.change_own(now, state=_State.ALIVE)
@@ -367,26 +371,26 @@
             self._ledger.change_own(now, incarnation=incarnation)
         introductions = [
             self._own.introduce(peer, True)
-            for peer in self._outlook.neighbours
+            for peer in self._publication.neighbours
         ]
         return [_decision.record(self._own.name, 'woken'), *introductions]
 
     def _is_reader(self, now: float) -> bool:
-        is_first = self._outlook.rank < overlay.READERS
+        is_first = self._publication.rank < overlay.READERS
         return is_first or self._detector.is_isolated(now)
 
     def _reconnect(self, now: float) -> list[object]:
-        is_delegate = self._outlook.rank < overlay.DELEGATES
+        is_delegate = self._publication.rank < overlay.DELEGATES
         if not is_delegate and not self._detector.is_isolated(now):
             return []
-        lost = self._approach.reconnect(self._outlook)
-        return lost + self._approach.meet()
+        lost = self._connector.reconnect(self._publication)
+        return lost + self._connector.meet()
 
     def _ask_roster(self, peer: str) -> effect.SendToPeer:
         return effect.SendToPeer(peer, self._gossip.ask())
 
     def _flush(self, now: float) -> list[object]:
-        effects = self._gossip.flush(self._outlook.neighbours)
+        effects = self._gossip.flush(self._publication.neighbours)
         if effects:
             self._next_rumor = now + _RUMOR_PAUSE_SECONDS
         return effects
--- a/skylarkfold/membership/_outlook.py
+++ b/skylarkfold/membership/_publication.py
@@ -8,23 +8,23 @@
 from skylarkfold import member
 from skylarkfold.membership import _decision
 from skylarkfold.membership import _identity
-from skylarkfold.membership import _learning
+from skylarkfold.membership import _readiness
 from skylarkfold.membership import _view
 from skylarkfold import overlay
 
 _State = member.MemberState
 
 
-class Outlook:
+class Publication:
     """Rebuilds the membership when it has changed.
 
     :param own: this instance's identity.
     :param view: builds memberships.
-    :param learning: whether this instance may rely on its view.
+    :param readiness: whether this instance may rely on its view.
     """
 
     __slots__ = (
-        '_learning',
+        '_readiness',
         '_own',
         '_view',
         'judged',
@@ -37,11 +37,11 @@
         self,
         own: _identity.Identity,
         view: _view.View,
-        learning: _learning.Learning,
+        readiness: _readiness.Readiness,
     ) -> None:
         self._own = own
         self._view = view
-        self._learning = learning
+        self._readiness = readiness
         self.judged: dict[str, _State] = {}
         self.membership = view.build(own.fact, 0, 0.0)
         self.neighbours: tuple[str, ...] = ()
@@ -64,7 +64,7 @@
             changed.
         """
         shown = self._own.fact
-        if self._learning.is_active and shown.state is _State.ALIVE:
+        if self._readiness.is_learning and shown.state is _State.ALIVE:
             shown = msgspec.structs.replace(shown, state=_State.JOINING)
         before, self.judged = self.judged, self._view.judge_zones(now)
         version = self.membership.version + 1
--- a/skylarkfold/membership/_learning.py
+++ b/skylarkfold/membership/_readiness.py
@@ -7,7 +7,7 @@
 from skylarkfold.membership import _settings
 
 
-class Learning:
+class Readiness:
     """A new or woken instance hears from others before it is ready.
 
     It needs a peer's whole roster and, in force here, the revision that
@@ -22,7 +22,7 @@
         '_settings',
         '_since',
         '_ticked',
-        'is_active',
+        'is_learning',
     )
 
     def __init__(self, settings: _settings.MembershipSettings) -> None:
@@ -31,7 +31,7 @@
         self._since = 0.0
         self._revision = 0
         self._is_synced = False
-        self.is_active = True
+        self.is_learning = True
 
     def note_tick(self, now: float) -> bool:
         """Note a tick.
@@ -49,7 +49,7 @@
         self._since = now
         self._revision = 0
         self._is_synced = False
-        self.is_active = True
+        self.is_learning = True
         return True
 
     def note_met(self, fact: _messages.Fact) -> bool:
@@ -58,7 +58,7 @@
         :param fact: its own fact.
         :returns: whether to ask it for its roster.
         """
-        if not self.is_active:
+        if not self.is_learning:
             return False
         if fact.state is member.MemberState.ALIVE:
             self._revision = max(self._revision, fact.revision)
@@ -69,18 +69,18 @@
         self._is_synced = True
 
     def settle(self, now: float, revision: int, is_alone: bool) -> bool:
-        """End the learning if enough is known.
+        """Be ready if enough is known.
 
         :param now: the time in seconds.
         :param revision: the revision in force here.
         :param is_alone: whether nobody was heard of late.
-        :returns: whether it has ended just now.
+        :returns: whether it has become ready just now.
         """
-        if not self.is_active:
+        if not self.is_learning:
             return False
         if is_alone:
             is_over = now - self._since >= self._settings.alone_seconds
         else:
             is_over = self._is_synced and revision >= self._revision
-        self.is_active = not is_over
+        self.is_learning = not is_over
         return is_over
--- a/skylarkfold/membership/_watch.py
+++ b/skylarkfold/membership/_watch.py
@@ -6,8 +6,8 @@
 from skylarkfold.membership import _detector
 from skylarkfold.membership import _identity
 from skylarkfold.membership import _ledger
-from skylarkfold.membership import _outlook
 from skylarkfold.membership import _probes
+from skylarkfold.membership import _publication
 from skylarkfold.membership import _roster
 
 
@@ -19,13 +19,13 @@
     :param detector: the evidence.
     :param probes: asks others for theirs.
     :param ledger: declares.
-    :param outlook: who the neighbours are.
+    :param publication: who the neighbours are.
     """
 
     __slots__ = (
         '_detector',
         '_ledger',
-        '_outlook',
+        '_publication',
         '_own',
         '_probes',
         '_roster',
@@ -38,14 +38,14 @@
         detector: _detector.Detector,
         probes: _probes.Probes,
         ledger: _ledger.Ledger,
-        outlook: _outlook.Outlook,
+        publication: _publication.Publication,
     ) -> None:
         self._own = own
         self._roster = roster
         self._detector = detector
         self._probes = probes
         self._ledger = ledger
-        self._outlook = outlook
+        self._publication = publication
 
     def judge(self, now: float) -> list[object]:
         """Ask after the silent, and declare those that nobody heard.
@@ -59,7 +59,9 @@
         effects: list[object] = []
         for target in self._detector.find_silent(watched, now):
             effects += self._probes.send(
-                target, self._outlook.membership, self._outlook.neighbours
+                target,
+                self._publication.membership,
+                self._publication.neighbours,
             )
         unanswered = self._detector.list_unanswered(now)
         overdue = self._detector.list_overdue(now)
@@ -86,7 +88,7 @@
     def _list_watched(self) -> list[str]:
         return [
             name
-            for name in self._outlook.neighbours
+            for name in self._publication.neighbours
             if (fact := self._roster.get(name)) is not None
             and fact.zone == self._own.zone
         ]
--- a/skylarkfold/requests/_handing.py
+++ b/skylarkfold/requests/_handover.py
@@ -13,7 +13,7 @@
 from skylarkfold.requests import _record
 
 
-class Handing:
+class Handover:
     """Hands finished keys on, and takes over those of others.
 
     :param context: what the parts of the core share.
--- a/skylarkfold/requests/_keys.py
+++ b/skylarkfold/requests/_keys.py
@@ -14,7 +14,7 @@
 from skylarkfold.requests import _answers
 from skylarkfold.requests import _claimant
 from skylarkfold.requests import _context
-from skylarkfold.requests import _handing
+from skylarkfold.requests import _handover
 from skylarkfold.requests import _holders
 from skylarkfold.requests import _memory
 from skylarkfold.requests import _messages
@@ -25,7 +25,7 @@
 
 Code = _answers.Code
 PassStatus = _messages.PassStatus
-Standing = _record.Standing
+KeyState = _record.KeyState
 Verdict = verdict_module.Verdict
 
 MAY_HAVE_RUN = Verdict.MAY_HAVE_RUN
@@ -67,7 +67,7 @@
         self._passes = passes
         self._memory = _memory.KeyMemory(context.settings)
         self._by_number: dict[int, _record.KeyRecord] = {}
-        self._handing = _handing.Handing(context, claimant, self._memory)
+        self._handover = _handover.Handover(context, claimant, self._memory)
         self._ownership = _ownership.Ownership(
             context, claimant, passes, self._memory, self._run
         )
@@ -83,7 +83,7 @@
     @property
     def is_handed_on(self) -> bool:
         """Tell whether all finished keys were handed on."""
-        return self._handing.is_over
+        return self._handover.is_over
 
     def receive(
         self,
@@ -174,7 +174,7 @@
             self._memory.drop(record)
         else:
             self._memory.end(now, record, answer)
-            self._handing.note_ended(record)
+            self._handover.note_ended(record)
         self._context.reply_all(record.askers, answer)
         return True
 
@@ -208,7 +208,7 @@
         """
         for record in self._memory.list_active():
             self._expire_askers(now, record)
-            if record.askers and record.standing is Standing.CLAIMING:
+            if record.askers and record.state is KeyState.CLAIMING:
                 self._ownership.retry(now, record)
         self._memory.expire(now)
         self._claimant.expire(now)
@@ -227,7 +227,7 @@
         :param successor: the instance.
         :param limit: how many at most.
         """
-        self._handing.hand_on(successor, limit)
+        self._handover.hand_on(successor, limit)
 
     def take_over(
         self, now: float, sender: str, handed: _messages.HandOnMessage
@@ -238,7 +238,7 @@
         :param sender: the instance that answered before.
         :param handed: the key's record.
         """
-        self._handing.take_over(now, handed)
+        self._handover.take_over(now, handed)
 
     def _join(
         self,
@@ -248,12 +248,12 @@
         deadline: float,
     ) -> None:
         if fingerprint != record.fingerprint:
-            if record.standing is Standing.ENDED:
+            if record.state is KeyState.ENDED:
                 self._context.refuse(asker, NOT_RUN, Code.KEY_REUSED)
             else:
                 self._context.refuse(asker, MAY_HAVE_RUN, Code.KEY_IN_USE)
             return
-        if record.standing is Standing.ENDED:
+        if record.state is KeyState.ENDED:
             self._context.count(metric.REQUESTS_REPLAYED)
             self._context.reply(asker, record.answer)
             return
@@ -279,7 +279,7 @@
     def _drop_unasked(self, now: float, record: _record.KeyRecord) -> None:
         if record.askers:
             return
-        if record.standing is Standing.OWNED:
+        if record.state is KeyState.OWNED:
             self._runner.cancel_waiting(now, record.request.number)
             return
         self._claimant.abandon(now, record)
--- a/skylarkfold/requests/_memory.py
+++ b/skylarkfold/requests/_memory.py
@@ -87,7 +87,7 @@
         :param answer: the answer.
         """
         self.drop(record)
-        record.standing = _record.Standing.ENDED
+        record.state = _record.KeyState.ENDED
         record.request = None
         record.claim = None
         record.answer = answer
--- a/skylarkfold/requests/_ownership.py
+++ b/skylarkfold/requests/_ownership.py
@@ -19,7 +19,7 @@
 Code = _answers.Code
 Owner = _register.Owner
 PassStatus = _messages.PassStatus
-Standing = _record.Standing
+KeyState = _record.KeyState
 Won = Callable[[float, _record.KeyRecord], None]
 
 
@@ -63,7 +63,7 @@
         :param now: the time.
         :param record: the key.
         """
-        record.standing = Standing.CLAIMING
+        record.state = KeyState.CLAIMING
         self._claimant.claim(now, record)
         self._evaluate(now, record)
 
@@ -123,7 +123,7 @@
 
     def _win(self, now: float, record: _record.KeyRecord) -> None:
         self._claimant.finish(record)
-        record.standing = Standing.OWNED
+        record.state = KeyState.OWNED
         self._context.log(
             'claim', record.key.hex(), 'won', record.request.service
         )
@@ -158,7 +158,7 @@
         if rival.name not in self._context.reachable:
             self._give_up(now, record, Code.KEY_OWNER_LOST)
             return
-        record.standing = Standing.ASKING
+        record.state = KeyState.ASKING
         passed = _passes.Pass(
             peer=rival.name,
             boot=rival.boot,
@@ -187,7 +187,7 @@
         answer: request_module.Answer | None,
         record: _record.KeyRecord,
     ) -> None:
-        if record.standing is not Standing.ASKING:
+        if record.state is not KeyState.ASKING:
             return
         record.pass_number = 0
         if status is PassStatus.ANSWERED and _answers.is_lasting(answer):
@@ -200,7 +200,7 @@
 
     def _claim_later(self, now: float, record: _record.KeyRecord) -> None:
         patience = self._settings.claim_patience_seconds
-        record.standing = Standing.CLAIMING
+        record.state = KeyState.CLAIMING
         record.give_up_at = now + patience
         record.retry_at = now + self._context.spread(
             self._settings.claim_retry_seconds, f'later|{now}'
--- a/skylarkfold/requests/_record.py
+++ b/skylarkfold/requests/_record.py
@@ -14,7 +14,7 @@
 _FINGERPRINT_BYTES = 8
 
 
-class Standing(enum.Enum):
+class KeyState(enum.Enum):
     """Where a key stands on this instance.
 
     ``CLAIMING``: its claim is undecided. ``ASKING``: another instance
@@ -35,7 +35,7 @@
     :param key: the key's digest.
     :param fingerprint: the digest of the request.
     :param request: the request as it came first; None once ended.
-    :param standing: where it stands.
+    :param state: where it stands.
     :param askers: who waits, each with its deadline.
     :param give_up_at: when a claim without a majority is given up.
     :param claim: the claim in progress.
@@ -50,7 +50,7 @@
     key: bytes
     fingerprint: int
     request: request_module.Request | None
-    standing: Standing = Standing.CLAIMING
+    state: KeyState = KeyState.CLAIMING
     askers: dict[_context.Asker, float] = dataclasses.field(
         default_factory=dict
     )
--- a/skylarkfold/soak/_director.py
+++ b/skylarkfold/soak/_director.py
@@ -176,26 +176,26 @@
             step.seconds, lambda: self._world.set_fault('', hosts)
         )
 
-    def _choose_ways(self, step: _plan.Step) -> list[packets.FaultyRelay]:
+    def _choose_relays(self, step: _plan.Step) -> list[packets.FaultyRelay]:
         chosen = self._choose(self._world.instances, step.share)
-        return [self._world.ways[instance.host] for instance in chosen]
+        return [self._world.store_relays[instance.host] for instance in chosen]
 
     def _harm(
         self, step: _plan.Step, name: str, harmed: object, whole: object
     ) -> None:
-        for way in self._choose_ways(step):
-            setattr(way, name, harmed)
+        for relay in self._choose_relays(step):
+            setattr(relay, name, harmed)
             self._world.loop.call_later(
-                step.seconds, functools.partial(setattr, way, name, whole)
+                step.seconds, functools.partial(setattr, relay, name, whole)
             )
 
     def _silence(self, step: _plan.Step) -> None:
-        for way in self._choose_ways(step):
-            way.silence()
+        for relay in self._choose_relays(step):
+            relay.silence()
 
     def _break(self, step: _plan.Step) -> None:
-        for way in self._choose_ways(step):
-            way.reset()
+        for relay in self._choose_relays(step):
+            relay.reset()
 
     def _slow(self, step: _plan.Step) -> None:
         server = self._world.server
--- a/skylarkfold/soak/_world.py
+++ b/skylarkfold/soak/_world.py
@@ -74,7 +74,7 @@
         )
         self.server.fault = lambda host: self._faulty.get(host, '')
         # What instances take for the store, by their hosts.
-        self.ways: dict[str, packets.FaultyRelay] = {}
+        self.store_relays: dict[str, packets.FaultyRelay] = {}
         self.fabric = packets.Fabric(self.loop, random.Random(seed))
         self._folder = folder
         for number, (zone, count) in enumerate(zones.items()):
@@ -90,11 +90,11 @@
         self.configure()
         seeds = [each.host for each in self.instances[:3]]
         for instance in self.instances:
-            way = packets.FaultyRelay(
+            relay = packets.FaultyRelay(
                 self.loop, instance.host, self.server.address
             )
-            self.ways[instance.host] = way
-            instance.configure(self._port, seeds, way.address, self.zones)
+            self.store_relays[instance.host] = relay
+            instance.configure(self._port, seeds, relay.address, self.zones)
             self.fabric.add(
                 instance.name,
                 instance.zone,
@@ -300,8 +300,8 @@
         for caller in self.callers:
             caller.close()
         self.fabric.close()
-        for way in self.ways.values():
-            way.close()
+        for relay in self.store_relays.values():
+            relay.close()
         self.server.close()
         self.loop.close()
 
