Shares: the newest sum of all other zones goes on, and names only who presses

Cause: what a zone passes on of the others was ordered by its oldest part, so that a sum of one zone went before a later one of ten; and it named callers that are below their share, which made words long and rare. At 600 instances in 11 zones the one that presses was at 3.0 of its share in its second second. Change: ordered by its newest part; to other zones only callers above 0.8 of the level are named. Test: a real process takes the term, and keeps what was in force when a weight can't be used.

--- a/skylarkfold/relay/_callers.py
+++ b/skylarkfold/relay/_callers.py
@@ -67,7 +67,7 @@
     def put_elsewhere(self, at: float, word: bytes) -> None:
         """Take the sum of the other zones, heard from them here.
 
-        :param at: since when it is true.
+        :param at: when the last of it was said.
         :param word: the sum.
         """
         if at > self._elsewhere_at:
--- a/skylarkfold/shares/_callers.py
+++ b/skylarkfold/shares/_callers.py
@@ -15,6 +15,11 @@
 from skylarkfold.shares import _word
 
 _MOST_WORD_BYTES = 4096
+# Callers that ask for more than this part of the level are named: neighbours
+# must agree on who is above its share, of which each sees a sample. To other
+# zones those below the level are as good as their total.
+_NEAR_LEVEL = 0.5
+_FAR_LEVEL = 0.8
 
 
 class Room:
@@ -50,7 +55,7 @@
     :ivar word: what neighbours are told; empty where no room is short.
     :ivar zone_word: what other zones are told.
     :ivar elsewhere: the sum of what other zones have said here.
-    :ivar elsewhere_at: since when all of that is true.
+    :ivar elsewhere_at: when the last of that was said.
     """
 
     __slots__ = (
@@ -284,26 +289,35 @@
     ) -> None:
         for priority, each in shares.items():
             view = each.view
-            names = self._choose(each)
+            names = self._choose(each, _NEAR_LEVEL)
             word[(service, priority)] = _word.Told(
                 len(view.own.callers),
                 _keep(view.own, names),
                 _keep(view.near, names),
             )
             zone_word[(service, priority)] = _word.Told(
-                view.zone_known, _keep(view.zone, names)
+                view.zone_known,
+                _keep(view.zone, self._choose(each, _FAR_LEVEL)),
             )
 
-    def _choose(self, shares: _shortage.KindShares) -> list[bytes]:
+    def _choose(
+        self, shares: _shortage.KindShares, least: float
+    ) -> list[bytes]:
         """Choose the callers that a word names, those near their share.
 
         What the others ask for is told in total.
+
+        :param shares: of all callers.
+        :param least: the least demand of one that is named, in levels.
+        :returns: the callers, the heaviest first.
         """
         callers = shares.view.all.callers
         level = shares.level
         if level == float('inf'):
             level = shares.room / max(1, len(callers))
-        near = [name for name, slots in callers.items() if slots > level / 2]
+        near = [
+            name for name, slots in callers.items() if slots > least * level
+        ]
         near.sort(key=lambda name: (-callers[name], name))
         return near[: min(self._settings.told_callers, _word.MOST_CALLERS)]
 
--- a/skylarkfold/shares/_view.py
+++ b/skylarkfold/shares/_view.py
@@ -111,7 +111,7 @@
     def sum_zones(self) -> tuple[float, _word.Word]:
         """Sum up what was heard from other zones, to be passed on.
 
-        :returns: since when all of it is true, and the sum.
+        :returns: when the last of it was said, and the sum.
         """
         direct = self.list_direct()
         total: _word.Word = {}
@@ -123,7 +123,9 @@
                     continue
                 own = _word.add(before.own, told.own)
                 total[kind] = _word.Told(before.known + told.known, own)
-        return min((at for at, _ in direct.values()), default=0.0), total
+        # The sum changes with each word: by the oldest, one of few zones would
+        # go before a later one of all.
+        return max((at for at, _ in direct.values()), default=0.0), total
 
 
 def _select(
--- a/skylarkfold/tests/platform/test_processes.py
+++ b/skylarkfold/tests/platform/test_processes.py
@@ -1,5 +1,6 @@
 """Real processes over loopback: open, carry, drain, replace, restart."""
 
+import json
 import os
 import pathlib
 import re
@@ -157,6 +158,28 @@
         )
         self.assertEqual(5, sum(int(each) for each in placed))
 
+    def test_callers_have_shares_from_when_settings_ask_for_them(self):
+        self.wait_for_rotation()
+        instance = self.world.instances[0]
+        address = instance.metrics_address
+        self.assertNotIn('services_short', self.fetch(address))
+        settings = json.loads(instance._path.read_text())
+        settings['terms'] = ['pressure']
+        instance._path.write_text(json.dumps(settings))
+        self.run_until(lambda: '"reason":"reloaded"' in instance.read_log())
+        self.assertIn('skylarkfold_services_short 0', self.fetch(address))
+        # What can't be used is named, and changes nothing.
+        own = json.loads(instance._own_path.read_text())
+        own['shares'] = {'weights': {'192.0.2.0/24': 0}}
+        instance._own_path.write_text(json.dumps(own))
+        instance.send(signal.SIGHUP)
+        place = '$.shares.weights.192.0.2.0/24'
+        self.run_until(lambda: place in instance.read_log())
+        self.assertIn('skylarkfold_services_short 0', self.fetch(address))
+        for _ in range(5):
+            self.assertEqual(packets.ANSWERED, self.ask(self.open()).outcome)
+        self.assertEqual([], instance.own_ends)
+
     def test_lines_that_nobody_reads_hold_up_nothing(self):
         self.wait_for_rotation()
         (caller,) = [each for each in self.world.callers if each.zone == 'b']
