Daemon: callers' shares begin when a start has settled

Their modules take 4 ms to load, which callers who come back at once would wait for; nobody is beyond a share that has not been counted yet.

--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -38,8 +38,8 @@
 _COUNTERS_SECONDS = 10.0
 # How often the settings are looked at; they may change without a signal.
 _SETTINGS_SECONDS = 1.0
-# After the start the log and the collector of garbage wait for so long: the
-# callers that came back after a restart of everything go first.
+# After the start the log, the collector of garbage and callers' shares wait
+# for so long: those that came back after a restart of everything go first.
 _SETTLED_SECONDS = 2.0
 
 
@@ -95,7 +95,6 @@
             self._affinity, self._relay, self._reporter
         )
         self._own = own
-        self._sharing.put(own, platform.asks_for_shares(settings))
         self._peers = _peers.PeerSockets(
             self._loop, settings.peer_address, self
         )
@@ -156,6 +155,7 @@
         loop.call_every(_COUNTERS_SECONDS, self._say_counters)
         loop.call_every(_SETTINGS_SECONDS, lambda: self._reload(False))
         loop.call_later(_SETTLED_SECONDS, self._settle)
+        loop.call_later(_SETTLED_SECONDS, self._begin_sharing)
         self._reporter.log('started', zone=self._settings.zone)
         try:
             self._perform(self._relay.tick(loop.now()))
@@ -175,6 +175,10 @@
         self._reporter.open()
         self._reporter.flush()
 
+    def _begin_sharing(self) -> None:
+        is_asked = self._platform.asks_for_shares(self._settings)
+        self._sharing.put(self._own, is_asked)
+
     def _stop(self) -> None:
         if self._departure is None:
             now = self._loop.now()
