Shares: a zone keeps half of its equal part, whatever others tell; zones counted

Change: a floor for each zone; the availability zones of the settings in place of a number of instances; a shortage is taken from own counts only from two deviations on, since at half of the slots words were told by chance.

--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -330,7 +330,7 @@
     def _tell_load(self) -> None:
         now = self._loop.now()
         self._relay.set_loads(self._affinity.list_loads(now))
-        self._sharing.refresh(now)
+        self._sharing.refresh(now, len(self._settings.zones))
         if self._settings.warm_up_slack is not None:
             mates = self._relay.peers.list_mates()
             self._affinity.set_mates(now, self._settings.name, mates)
--- a/skylarkfold/forwarder/_sharing.py
+++ b/skylarkfold/forwarder/_sharing.py
@@ -62,18 +62,19 @@
             )
         self.put(own, is_asked)
 
-    def refresh(self, now: float) -> None:
+    def refresh(self, now: float, zones: int) -> None:
         """Work out the shares, and what peers are told next.
 
         :param now: the time.
+        :param zones: how many availability zones there are.
         """
         sharing = self._core.shares.sharing
         if sharing is None:
             return
         from skylarkfold import shares
 
-        mates, instances = self._relay.peers.count_reachable()
-        sharing.refresh(now, shares.Fleet(mates, instances))
+        mates = self._relay.peers.count_mates()
+        sharing.refresh(now, shares.Fleet(mates, zones))
         callers = sharing.callers
         words = self._relay.announcer.callers
         words.put(callers.word, callers.zone_word)
--- a/skylarkfold/relay/_peers.py
+++ b/skylarkfold/relay/_peers.py
@@ -252,17 +252,16 @@
             if peer.zone == self._own.zone and peer is not self._own
         ]
 
-    def count_reachable(self) -> tuple[int, int]:
-        """Count the instances that are heard.
+    def count_mates(self) -> int:
+        """Count the other instances of this zone that are heard.
 
-        :returns: the others of this zone; all, this one included.
+        :returns: how many there are.
         """
-        mates = others = 0
-        for peer in self.members.values():
-            if peer.is_reachable and peer is not self._own:
-                others += 1
-                mates += peer.zone == self._own.zone
-        return mates, others + 1
+        return sum(
+            peer.is_reachable
+            for peer in self.members.values()
+            if peer.zone == self._own.zone and peer is not self._own
+        )
 
     def may_leave(self, now: float) -> bool:
         """Tell whether enough others of the zone take callers' packets.
--- a/skylarkfold/shares/_callers.py
+++ b/skylarkfold/shares/_callers.py
@@ -202,7 +202,7 @@
             if self._must_tell(service, demand, room):
                 self._tell(service, shares, word, zone_word)
         self.word = _word.pack(word) if word and fleet.mates else b''
-        is_far = fleet.instances > 1 + fleet.mates
+        is_far = fleet.zones > 1
         self.zone_word = _word.pack(zone_word) if zone_word and is_far else b''
         self.elsewhere_at, elsewhere = self._words.sum_zones()
         self.elsewhere = _word.pack(elsewhere)
@@ -276,8 +276,9 @@
         if not rate:
             return False
         sampled = rate * 2 * self._settings.window_seconds
-        certain = slots * max(0.0, 1.0 - 1.0 / math.sqrt(sampled))
-        expected = certain * self._fleet.instances
+        deviation = self._settings.certainty / math.sqrt(sampled)
+        certain = slots * max(0.0, 1.0 - deviation)
+        expected = certain * (1 + self._fleet.mates) * self._fleet.zones
         return expected >= self._settings.short_share * room.slots
 
     def _tell(
--- a/skylarkfold/shares/_shortage.py
+++ b/skylarkfold/shares/_shortage.py
@@ -9,11 +9,15 @@
 from skylarkfold.shares import _settings
 from skylarkfold.shares import _share
 from skylarkfold.shares import _view
+from skylarkfold.shares import _word
 
 # Of its slots, what requests of a later priority may still try for where the
 # earlier ones seem to fill all: their work is estimated, and what does not
 # fit is refused by the estimate of its answer.
 _LEAST_ROOM_SHARE = 0.1
+# What other zones tell can't be compared with anything here: of an equal part
+# of the room a zone keeps at least this share.
+_LEAST_ZONE_SHARE = 0.5
 _DAY_SECONDS = 86400.0
 
 
@@ -37,7 +41,11 @@
         self.view = view
         self.room = room
         self._settings = settings
-        self.level = _level.compute_level(room, self._list_claims())
+        claims = self._list_claims(view.all, view.known)
+        level = _level.compute_level(room, claims)
+        own_room = _LEAST_ZONE_SHARE * view.zone_part * room
+        claims = self._list_claims(view.zone, view.zone_known)
+        self.level = max(level, _level.compute_level(own_room, claims))
 
     def compute_share(self, caller: bytes) -> float:
         """Compute what a caller may have.
@@ -82,8 +90,10 @@
             return float('inf')
         return cap * self.view.mean_seconds
 
-    def _list_claims(self) -> list[_level.Claim]:
-        demand, named = self.view.all, self.view.named
+    def _list_claims(
+        self, demand: _word.Demand, known: int
+    ) -> list[_level.Claim]:
+        named = self.view.named
         claims = []
         rest = demand.total
         for caller in named:
@@ -93,7 +103,7 @@
             claims.append(_level.Claim(slots, weight, cap))
         if rest > 0.0:
             # Of the others only the number is known.
-            count = max(1, self.view.known - len(named))
+            count = max(1, known - len(named))
             claims.append(_level.Claim(rest / count, count=float(count)))
         return claims
 
--- a/skylarkfold/shares/_view.py
+++ b/skylarkfold/shares/_view.py
@@ -25,14 +25,14 @@
     """How many instances share the callers' flows.
 
     :param mates: others of this availability zone.
-    :param instances: all instances, this one included.
+    :param zones: all availability zones.
     """
 
-    __slots__ = ('instances', 'mates')
+    __slots__ = ('mates', 'zones')
 
-    def __init__(self, mates: int, instances: int) -> None:
+    def __init__(self, mates: int, zones: int = 1) -> None:
         self.mates = max(0, mates)
-        self.instances = max(1 + self.mates, instances)
+        self.zones = max(1, zones)
 
 
 class PeerWords:
@@ -149,6 +149,7 @@
     :ivar near: the mean of this instance and its neighbours.
     :ivar zone: the sum of this availability zone.
     :ivar all: the sum of all zones that are heard.
+    :ivar zone_part: which part of all zones this one is.
     :ivar zone_known: how many callers of this zone ask for it.
     :ivar known: the same of all zones that are heard.
     :ivar named: callers that words name, or all where none came: the only
@@ -169,6 +170,7 @@
         'said_at',
         'zone',
         'zone_known',
+        'zone_part',
     )
 
     def __init__(
@@ -188,6 +190,7 @@
         self.own = own
         self.mean_seconds = own.total / own_rate if own_rate else 0.0
         self._size = 1 + fleet.mates
+        self.zone_part = 1.0 / fleet.zones
         heard = [told.own for _, told in mates]
         self._heard = functools.reduce(_word.add, heard, own)
         self.near = mean = _word.average(own, heard)
--- a/skylarkfold/tests/affinity/test_sharing.py
+++ b/skylarkfold/tests/affinity/test_sharing.py
@@ -92,7 +92,7 @@
         """Do what the daemon does several times a second."""
         sharing = self.core.shares.sharing
         if sharing is not None:
-            sharing.refresh(self.now, shares.Fleet(0, 1))
+            sharing.refresh(self.now, shares.Fleet(0))
 
     def list_refused(self):
         """List the lines of refusals."""
--- a/skylarkfold/tests/forwarder/test_sharing.py
+++ b/skylarkfold/tests/forwarder/test_sharing.py
@@ -50,7 +50,7 @@
     def test_without_a_term_and_a_setting_nothing_is_loaded(self):
         self.sharing.put(self.own, False)
         self.assertIsNone(self.core.shares.sharing)
-        self.sharing.refresh(1.0)
+        self.sharing.refresh(1.0, 0)
         word = relay.TakeCallers('m', False, 0.0, b'x')
         self.sharing.take(1.0, word)
         self.assertEqual(0, self.reporter.counters['callers.malformed'])
@@ -131,7 +131,7 @@
         digest = shares.digest_service('s')
         for number in range(200):
             callers.note(1.0 + number / 200, digest, 0, CALLER, 0.05)
-        self.sharing.refresh(2.0)
+        self.sharing.refresh(2.0, 1)
         self.assertNotEqual(b'', callers.word)
         report = self.relay.announcer.callers.choose_near(2.0, 1)
         self.assertEqual(callers.word, report.word)
--- a/skylarkfold/tests/shares/fleet.py
+++ b/skylarkfold/tests/shares/fleet.py
@@ -105,7 +105,7 @@
             each.core.refresh(
                 self.now,
                 {SERVICE: shares.Room(self.slots)},
-                shares.Fleet(zone - 1, len(self.deciders)),
+                shares.Fleet(zone - 1, len(self.zones)),
             )
             if each.name in self.lost:
                 continue
--- a/skylarkfold/tests/shares/relayed.py
+++ b/skylarkfold/tests/shares/relayed.py
@@ -90,9 +90,10 @@
         """Do what the daemon does several times a second."""
         for name, core in self.cores.items():
             callers = self.callers[name]
-            mates, instances = core.peers.count_reachable()
+            zones = len(set(self.zones.values()))
+            known = shares.Fleet(core.peers.count_mates(), zones)
             rooms = {fleets.SERVICE: shares.Room(self.slots)}
-            callers.refresh(self.now, rooms, shares.Fleet(mates, instances))
+            callers.refresh(self.now, rooms, known)
             words = core.announcer.callers
             words.put(callers.word, callers.zone_word)
             if callers.elsewhere:
--- a/skylarkfold/tests/shares/test_relayed.py
+++ b/skylarkfold/tests/shares/test_relayed.py
@@ -47,6 +47,23 @@
     def test_64_instances_in_three_zones(self):
         self.press(self.build(64, 3, 120.0))
 
+    def test_a_shortage_that_no_zone_has_alone_is_seen(self):
+        # Each zone asks for 0.4 of the slots: instances know few of those in
+        # other zones.
+        fleet = self.build(64, 3, 120.0)
+        demands = dict.fromkeys(range(9), 0.6 / 9 * 120.0)
+        demands |= dict.fromkeys(range(9, 12), 0.2 * 120.0)
+        fleet.play(2.0, demands)
+        given = fleet.play(3.0, demands)
+        for number in range(9):
+            kept = given[number] / demands[number]
+            self.assertGreaterEqual(kept, test_callers.KEPT, given)
+        share = (test_callers.FILLED - 0.6) / 3 * fleet.slots
+        for number in range(9, 12):
+            self.assertLessEqual(
+                given[number], test_callers.WITHIN * share, given
+            )
+
     def test_a_zone_that_is_cut_off_goes_by_what_it_sees(self):
         fleet = self.build(12, 3, 120.0)
         demands = test_callers.build_demands(fleet.slots)
--- a/skylarkfold/tests/shares/test_words.py
+++ b/skylarkfold/tests/shares/test_words.py
@@ -96,7 +96,7 @@
         self.assertEqual(set(), core.list_services())
         core.take_word(9.0, 'a', True, 1.0, word)
         self.assertEqual({fleets.SERVICE}, core.list_services())
-        core.refresh(10.6, {}, shares.Fleet(0, 2))
+        core.refresh(10.6, {}, shares.Fleet(0))
         self.assertEqual(set(), core.list_services())
 
     def test_a_later_word_replaces_an_earlier_one(self):
@@ -224,6 +224,25 @@
         for number, slots in given.items():
             self.assertGreaterEqual(slots / calm[number], KEPT, given)
 
+    def test_untrue_sums_of_other_zones_stop_nobody(self):
+        # They can't be compared with anything here: whatever they say, a
+        # zone's callers have half of an equal part of the room.
+        fleet = fleets.Fleet(6, zones=3)
+        demands = dict.fromkeys(range(9), 0.08 * SLOTS)
+        fleet.play(2.0, demands)
+        head = struct.pack(
+            '!IBBHee', fleets.SERVICE, 0, 0, 65535, 60000.0, 0.0
+        )
+        given = dict.fromkeys(demands, 0.0)
+        for _ in range(15):
+            for each in fleet.deciders:
+                each.core.take_word(fleet.now, 'liar', True, 0.0, head)
+            for number, slots in fleet.play(0.2, demands).items():
+                given[number] += slots / 15
+        least = 0.5 / 3 * 0.95 * SLOTS / 3
+        for slots in given.values():
+            self.assertGreaterEqual(slots, 0.9 * least, given)
+
     def test_at_rest_nothing_is_told(self):
         fleet = fleets.Fleet(7, zones=3)
         fleet.play(5.0, dict.fromkeys(range(8), 0.05 * SLOTS))
