Overload: patterns with upstreams of unequal speed

Cause: on a user's site upstreams do 0.6, 1 and 1.6 times the usual work, and some turn six times slower; no pattern had that.

Change: patterns 'speeds' and 'speeds-slow'; the busiest is counted by slots and speed.

--- a/skylarkfold/measure/_overload_fleet.py
+++ b/skylarkfold/measure/_overload_fleet.py
@@ -93,7 +93,9 @@
         }
         zones = _overload_pattern.ZONES
         for number, slots in enumerate(pattern.slots):
-            self.add_upstream(zones[number % len(zones)], slots)
+            added = self.add_upstream(zones[number % len(zones)], slots)
+            if pattern.speeds:
+                added.speed = pattern.speeds[number]
         self.instances = [
             Instance(f'entry-{number}', zones[number % len(zones)], None)
             for number in range(pattern.instances)
--- a/skylarkfold/measure/_overload_pattern.py
+++ b/skylarkfold/measure/_overload_pattern.py
@@ -127,6 +127,8 @@
     :param troubles: what happens.
     :param kinds: the requests.
     :param slots: of each upstream; zones take turns.
+    :param speeds: of each upstream, relative to others; empty where all are
+        equal.
     :param instances: how many; zones take turns.
     :param retries: further tries of a caller.
     :param retry_seconds: its pause before each.
@@ -139,6 +141,7 @@
     troubles: tuple[Trouble, ...] = ()
     kinds: tuple[Kind, ...] = KINDS
     slots: tuple[int, ...] = (2,) * 7
+    speeds: tuple[float, ...] = ()
     instances: int = 7
     retries: int = 2
     retry_seconds: float = 0.002
@@ -167,6 +170,8 @@
 # Three upstreams in each zone, so that two zones can bear the third's load.
 _EVEN_SLOTS = (2,) * 9
 _SWING = 0.27
+# Bought in three years: each zone has one of each.
+_SPEEDS = (0.6, 1.0, 1.6, 1.0, 1.6, 0.6, 1.6, 0.6, 1.0)
 
 
 def _burst(times: float, **fields: object) -> Trouble:
@@ -355,6 +360,22 @@
         (_burst(2.5),),
         slots=(1, 4, 1, 2, 3, 1, 2),
     ),
+    Pattern(
+        'speeds',
+        'upstreams of one service on machines of three ages, which do 0.6, 1 '
+        'and 1.6 times the usual work, in a burst that takes 69% of it',
+        (_burst(3.0),),
+        slots=_EVEN_SLOTS,
+        speeds=_SPEEDS,
+    ),
+    Pattern(
+        'speeds-slow',
+        'the same while two of the nine take six times as long, as beside '
+        "another's work on their machines, at 69% of what the others do",
+        (_burst(2.5), Trouble(Change.SLOW, times=6.0, count=2)),
+        slots=_EVEN_SLOTS,
+        speeds=_SPEEDS,
+    ),
     Pattern(
         'unequal-work',
         'requests of 80 ms beside ones of 8 ms, with one worth for both, '
--- a/skylarkfold/measure/_overload_upstream.py
+++ b/skylarkfold/measure/_overload_upstream.py
@@ -35,7 +35,8 @@
     :param draw: where failures are drawn.
     :param answer: called with this upstream, a flow, its request and an
         :class:`Outcome`.
-    :ivar slow_times: how much longer work takes.
+    :ivar speed: how much work it does in a time, relative to others.
+    :ivar slow_times: how much longer work takes for a while.
     :ivar hang_share: share of the requests that are never answered.
     :ivar error_share: share of them that fail at once.
     :ivar taken: requests that it was sent.
@@ -60,6 +61,7 @@
         'opened',
         'slots',
         'slow_times',
+        'speed',
         'taken',
         'zone',
     )
@@ -78,6 +80,7 @@
         self.number = number
         self.zone = zone
         self.slots = slots
+        self.speed = 1.0
         self.slow_times = 1.0
         self.hang_share = 0.0
         self.error_share = 0.0
@@ -146,7 +149,7 @@
     def _begin(self, flow: object, request: object) -> None:
         request.runs += 1
         self._busy += 1
-        seconds = request.work_seconds * self.slow_times
+        seconds = request.work_seconds * self.slow_times / self.speed
         if self._clock.now - self._started_at < COLD_SECONDS:
             seconds *= COLD_TIMES
         self._clock.call(seconds, self._end, flow, request)
--- a/skylarkfold/measure/overload.py
+++ b/skylarkfold/measure/overload.py
@@ -56,7 +56,7 @@
     :param refused: share of them that were refused.
     :param failed: share of them that failed otherwise.
     :param busiest: requests of the busiest upstream over the mean, each by
-        its slots.
+        its slots and speed.
     :param connections: flows that upstreams opened, for each request.
     """
 
@@ -243,7 +243,7 @@
     reached = _overload_oracle.compute_reached(hit, free_at)
     until = max(each.deadline for each in hit)
     bound = _overload_oracle.compute_bound(hit, free_at, until)
-    taken = [each.taken / each.slots for each in fleet.upstreams]
+    taken = [each.taken / each.slots / each.speed for each in fleet.upstreams]
     opened = sum(each.opened for each in fleet.upstreams)
     by_kind = {
         kind.name: _compute_worth([each for each in hit if each.kind is kind])
