Affinity: speeds of upstreams learnt from answers; loads trusted as they are known

Need: upstreams of a service differ in speed, one instance of 83 sees 0.3 answers a second of each, and many instances that choose the least loaded one by the same words choose the same one.

Change: each instance sums up bounded logarithms of answers over the usual time, halved every 1.5 s; sum and count go with the load words (two to three bytes, capped at eight answers a peer, beacon version 5); the mean beside the service's median, less the wait that the mean queue explains, is the speed, 1 within a dead band. Capacity is slots by speed, in placement and estimates. Where more is placed unseen between words than upstreams have, flows draw by load in place of the least. A new flow whose service is crowded or empty goes to the next of its route that has room. Lines, gauges, settings speed_tolerance and unseen_trust (0: off), ablations 'speeds' and 'unseen'.

--- a/skylarkfold/affinity/_admission.py
+++ b/skylarkfold/affinity/_admission.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from skylarkfold.affinity import _directory
 from skylarkfold.affinity import _route
 from skylarkfold.affinity import _settings
+from skylarkfold.affinity import _speed
 from skylarkfold.affinity import _standing
 from skylarkfold.affinity import _work
 
@@ -26,12 +28,21 @@
     at once and truly without a run.
 
     :param settings: from which share of the aim on flows are refused.
+    :param directory: all upstreams, whose speeds are learnt from their
+        answers; None where they are not.
     """
 
-    __slots__ = ('_by_address', '_by_service', '_settings')
+    __slots__ = ('_by_address', '_by_service', '_settings', '_speeds')
 
-    def __init__(self, settings: _settings.AffinitySettings) -> None:
+    def __init__(
+        self,
+        settings: _settings.AffinitySettings,
+        directory: _directory.Directory | None = None,
+    ) -> None:
         self._settings = settings
+        self._speeds: _speed.Speeds | None = None
+        if directory is not None and settings.speed_tolerance:
+            self._speeds = _speed.Speeds(settings, directory)
         # How long requests of a route take a slot; and those of a service,
         # which make up the queue.
         self._by_address: dict[bytes, _work.WorkTime] = {}
@@ -60,9 +71,13 @@
         own = self._by_address.get(address)
         if own is None:
             own = self._by_address[address] = _work.WorkTime()
-        turns = max(1.0, (ahead + 1) / standing.compute_capacity(now))
-        wait = (turns - 1) * queue.seconds
-        is_hasty = seconds < _HASTY_SHARE * (own.seconds + wait)
+        speed = standing.speed
+        slots = standing.compute_capacity(now) / speed
+        turns = max(1.0, (ahead + 1) / slots)
+        expected = own.seconds + (turns - 1) * queue.seconds
+        # As long as it would have taken at the usual speed.
+        seconds *= speed
+        is_hasty = seconds < _HASTY_SHARE * expected
         if turns > 1 and is_hasty:
             # It was full, which says nothing of its health.
             return
@@ -71,10 +86,21 @@
             if ahead < standing.upstream.slots and own.seconds:
                 standing.slowness.note(seconds / own.seconds)
             return
+        if self._speeds is not None and own.seconds and not is_hasty:
+            times = seconds / speed / own.seconds
+            self._speeds.note(now, standing, times)
         queue.note(seconds / turns)
         if turns == 1:
             own.note(seconds)
 
+    def refresh(self, now: float) -> list[object]:
+        """Compute the upstreams' speeds anew where that is due.
+
+        :param now: the time.
+        :returns: effects.
+        """
+        return [] if self._speeds is None else self._speeds.refresh(now)
+
     def estimate(
         self, now: float, route: _route.Route, standing: _standing.Standing
     ) -> _work.Estimate:
@@ -90,9 +116,12 @@
         if queue is None:
             return _work.Estimate(0.0, 0.0, 0.0)
         own = self._by_address.get(route.address, queue)
-        turns = (standing.waiting + 1) / standing.compute_capacity(now)
-        wait = max(0.0, turns - 1) * queue.seconds
-        return _work.Estimate(own.seconds, wait, queue.seconds)
+        speed = standing.speed
+        slots = standing.compute_capacity(now) / speed
+        turns = (standing.waiting + 1) / slots
+        usual = queue.seconds / speed
+        wait = max(0.0, turns - 1) * usual
+        return _work.Estimate(own.seconds / speed, wait, usual)
 
     def is_refused(
         self, route: _route.Route, expected: _work.Estimate, hashed: int
--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from skylarkfold.affinity import _admission
+from skylarkfold.affinity import _destination
 from skylarkfold.affinity import _directory
 from skylarkfold.affinity import _effect
 from skylarkfold.affinity import _ending
@@ -50,7 +51,7 @@
         self._directory = _directory.Directory(settings)
         self._flows = _flow.FlowTable(settings.flow_limit)
         self._ending = _ending.Ending(settings, self._flows, self.tally)
-        self._admission = _admission.Admission(settings)
+        self._admission = _admission.Admission(settings, self._directory)
         self._suspects = _suspects.Suspects(
             zone, settings, self._directory, self._ending, self.tally
         )
@@ -69,6 +70,7 @@
             self._limit,
             self._refusals,
             self.tally,
+            self._peer_loads.unseen,
         )
         self._held = _held.HeldPackets()
         self._presence = _presence.Presence(
@@ -246,18 +248,17 @@
         if route is None:
             return self._refuse_route(now, packet)
         hashed = _placement.hash_flow(packet.flow)
-        service = route.choose_service(hashed)
-        # Of a copy, another instance may have placed the first one.
-        is_copy = packet.acknowledged > 0
-        standing = self._opener.choose(now, service, hashed)
-        if standing is None:
+        found = _destination.find_destination(
+            now, route, hashed, self._opener, self._admission
+        )
+        if found is None:
             return self._refuse(packet, Reason.NO_UPSTREAM)
-        expected = self._admission.estimate(now, route, standing)
-        waits = self.tally.histograms[_tally.WAIT_SECONDS]
-        waits.observe(expected.wait_seconds)
-        if not is_copy and self._admission.is_refused(route, expected, hashed):
+        standing = found.standing
+        self.tally.observe(_tally.WAIT_SECONDS, found.expected.wait_seconds)
+        # Of a copy, another instance may have placed the first one.
+        if found.is_crowded and packet.acknowledged == 0:
             return self._refusals.refuse_crowded(
-                packet, self._routes.version, route, standing, expected
+                packet, self._routes.version, route, standing, found.expected
             )
         flow = _flow.Flow(packet.flow, standing, now)
         flow.is_idempotent = route.is_idempotent
@@ -310,8 +311,7 @@
     def _open(
         self, now: float, flow: _flow.Flow, packet: _packet.Packet
     ) -> None:
-        opened = self.tally.histograms[_tally.OPEN_SECONDS]
-        opened.observe(now - flow.begun_at)
+        self.tally.observe(_tally.OPEN_SECONDS, now - flow.begun_at)
         flow.is_open = True
         flow.first = b''
         # Its upstream's numbers begin anywhere.
--- a/skylarkfold/affinity/_directory.py
+++ b/skylarkfold/affinity/_directory.py
@@ -12,6 +12,12 @@
 from skylarkfold import revision as revisions
 
 
+# Before words have come: as often as they are told.
+_FIRST_GAP_SECONDS = 0.2
+_LEAST_GAP_SECONDS = 0.05
+_GAP_GAIN = 1 / 16
+
+
 class Change:
     """What has become of an upstream's entry."""
 
@@ -56,6 +62,8 @@
     store's newest entry holds on every instance.
 
     :param settings: how long upstreams are remembered.
+    :ivar gap_seconds: how long it takes a peer, on average, to say again what
+        it carries.
     """
 
     __slots__ = (
@@ -65,6 +73,7 @@
         '_by_token',
         '_settings',
         '_slowness',
+        'gap_seconds',
     )
 
     def __init__(self, settings: _settings.AffinitySettings) -> None:
@@ -74,6 +83,7 @@
         self._by_incarnation: dict[int, _standing.Standing] = {}
         self._by_service: dict[str, list[_standing.Standing]] = {}
         self._slowness: dict[str, _slowness.Slowness] = {}
+        self.gap_seconds = _FIRST_GAP_SECONDS
 
     def __len__(self) -> int:
         return len(self._by_name)
@@ -113,6 +123,18 @@
         """
         return self._by_service.get(service, [])
 
+    def note_gap(self, seconds: float) -> None:
+        """Take that a peer has said what it carries.
+
+        :param seconds: since its word before.
+        """
+        seconds = max(seconds, _LEAST_GAP_SECONDS)
+        self.gap_seconds += _GAP_GAIN * (seconds - self.gap_seconds)
+
+    def list_services(self) -> list[str]:
+        """List the services that have upstreams, gone ones included."""
+        return list(self._by_service)
+
     def count_busy(self) -> int:
         """Count the requests in flight of this instance's flows."""
         return sum(standing.busy for standing in self)
@@ -133,6 +155,32 @@
         """
         return sum(now < standing.warming_until for standing in self)
 
+    def count_slow(self) -> int:
+        """Count the upstreams that are slower than others of a service."""
+        return sum(standing.speed < 1.0 for standing in self)
+
+    def find_slowest(self) -> float:
+        """Find the least speed; 1 where none is slow."""
+        return min((standing.speed for standing in self), default=1.0)
+
+    def compute_busiest(self, now: float) -> float:
+        """Compute how long the longest expected wait of a service is.
+
+        :param now: the time.
+        :returns: that of the busiest upstream over the mean of its service,
+            of the service where that is largest; 1 where there are none.
+        """
+        most = 1.0
+        for standings in self._by_service.values():
+            waits = [
+                (each.waiting + 1) / each.compute_capacity(now)
+                for each in standings
+                if each.takes_new_flows
+            ]
+            if waits:
+                most = max(most, max(waits) * len(waits) / sum(waits))
+        return most
+
     def replace(
         self, now: float, present: Iterable[_upstream.Upstream]
     ) -> list[EntryChange]:
--- a/skylarkfold/affinity/_effect.py
+++ b/skylarkfold/affinity/_effect.py
@@ -25,6 +25,9 @@
     RESTARTED = 'restarted'
     NOT_ANSWERED = 'not-answered'
     NOT_OPENED = 'not-opened'
+    SLOW = 'slow'
+    FAST = 'fast'
+    USUAL = 'usual'
 
 
 class ProbeOutcome:
--- a/skylarkfold/affinity/_health.py
+++ b/skylarkfold/affinity/_health.py
@@ -141,6 +141,7 @@
         while self._waits and self._waits[0][0] <= now:
             _, flow = self._waits.popleft()
             effects += self._judge_wait(now, flow)
+        effects += self._admission.refresh(now)
         return effects + self._suspects.tick(now)
 
     def _note_answer(self, now: float, flow: _flow.Flow) -> None:
--- a/skylarkfold/affinity/_load.py
+++ b/skylarkfold/affinity/_load.py
@@ -4,6 +4,8 @@
 
 from skylarkfold.affinity import _directory
 from skylarkfold.affinity import _settings
+from skylarkfold.affinity import _standing
+from skylarkfold.affinity import _unseen
 from skylarkfold import upstream_load
 
 _Load = upstream_load.UpstreamLoad
@@ -16,9 +18,11 @@
     :param settings: how long a word counts.
     :param directory: all upstreams; their ``remote_flows`` and
         ``remote_busy`` are kept here.
+    :ivar unseen: how much is placed between words; None where that does not
+        matter.
     """
 
-    __slots__ = ('_directory', '_reports', '_settings')
+    __slots__ = ('_directory', '_reports', '_settings', 'unseen')
 
     def __init__(
         self,
@@ -27,6 +31,9 @@
     ) -> None:
         self._settings = settings
         self._directory = directory
+        self.unseen: _unseen.Unseen | None = None
+        if settings.unseen_trust:
+            self.unseen = _unseen.Unseen(settings.unseen_trust, directory)
         self._reports: dict[str, tuple[float, dict[int, _Load]]] = {}
 
     def take(self, now: float, source: str, loads: dict[int, _Load]) -> None:
@@ -36,7 +43,9 @@
         :param source: who says so.
         :param loads: by incarnation of their upstream.
         """
-        _, before = self._reports.get(source, (now, {}))
+        at, before = self._reports.get(source, (now, {}))
+        if before:
+            self._directory.note_gap(now - at)
         self._reports[source] = (now, loads)
         for incarnation in before.keys() | loads.keys():
             known = before.get(incarnation, _NOTHING)
@@ -58,6 +67,7 @@
         """Sum up again after the upstreams have changed."""
         for standing in self._directory:
             standing.remote_flows = 0
+            standing.remote_answers = standing.remote_slowness = 0.0
             standing.remote_busy = 0.0
         for _, report in self._reports.values():
             for incarnation, load in report.items():
@@ -72,3 +82,16 @@
             busy = standing.remote_busy + load.busy - before.busy
             # What is added and taken away again leaves a rounding error.
             standing.remote_busy = max(0.0, busy)
+            if load.answers or before.answers:
+                _add_answers(standing, load, before)
+
+
+def _add_answers(
+    standing: _standing.Standing, load: _Load, before: _Load
+) -> None:
+    answers = standing.remote_answers + load.answers - before.answers
+    if answers < upstream_load.LEAST_ANSWERS:
+        standing.remote_answers = standing.remote_slowness = 0.0
+        return
+    standing.remote_answers = answers
+    standing.remote_slowness += load.slowness - before.slowness
--- a/skylarkfold/affinity/_opening.py
+++ b/skylarkfold/affinity/_opening.py
@@ -15,6 +15,7 @@
 from skylarkfold.affinity import _settings
 from skylarkfold.affinity import _standing
 from skylarkfold.affinity import _tally
+from skylarkfold.affinity import _unseen
 from skylarkfold.affinity import _warm_up
 
 Reason = _effect.Reason
@@ -30,6 +31,7 @@
     :param limit: of first packets to upstreams that warm up.
     :param refusals: refuses what no upstream may get.
     :param tally: where flows are counted.
+    :param unseen: how much is placed between words of peers.
     """
 
     __slots__ = (
@@ -39,6 +41,7 @@
         '_refusals',
         '_settings',
         '_tally',
+        '_unseen',
         '_waiting',
         '_zone',
     )
@@ -52,6 +55,7 @@
         limit: _warm_up.WarmUpLimit,
         refusals: _refusal.Refusals,
         tally: _tally.Tally,
+        unseen: _unseen.Unseen | None,
     ) -> None:
         self._zone = zone
         self._settings = settings
@@ -60,6 +64,7 @@
         self._limit = limit
         self._refusals = refusals
         self._tally = tally
+        self._unseen = unseen
         self._waiting: collections.deque[tuple[float, _flow.Flow]] = (
             collections.deque()
         )
@@ -89,6 +94,7 @@
             tried,
             self._settings,
             self._limit,
+            self._unseen,
         )
 
     def send(
@@ -122,6 +128,8 @@
             'health': standing.health,
             'try': len(flow.tried),
         }
+        if standing.speed != 1.0:
+            details['speed'] = round(standing.speed, 2)
         name = standing.upstream.name
         return [
             _effect.Record('open', reason, flow.key, name, details),
@@ -208,5 +216,7 @@
         if route is None:
             return None
         hashed = _placement.hash_flow(flow.key)
-        service = route.choose_service(hashed)
+        service = flow.standing.upstream.service
+        if not route.has_service(service):
+            service = route.choose_service(hashed)
         return self.choose(now, service, hashed, tried)
--- a/skylarkfold/affinity/_placement.py
+++ b/skylarkfold/affinity/_placement.py
@@ -9,6 +9,7 @@
 
 from skylarkfold.affinity import _settings
 from skylarkfold.affinity import _standing
+from skylarkfold.affinity import _unseen
 from skylarkfold.affinity import _warm_up
 
 # Requests at a time that a flow is taken to bring at least, so that flows
@@ -17,6 +18,11 @@
 # The bits of a flow's hash that draw a sample; the lower ones choose where it
 # begins.
 _STEP_SHIFT = 20
+# What an upstream gets at least of its share, however much it carries.
+_LEAST_SHARE = 0.02
+# Spreads a flow's hash over this many points of a line.
+_POINTS = 1 << 32
+_POINT_FACTOR = 0x9E3779B97F4A7C15
 
 
 def hash_flow(key: bytes) -> int:
@@ -36,6 +42,7 @@
     tried: tuple[str, ...],
     settings: _settings.AffinitySettings,
     limit: _warm_up.WarmUpLimit,
+    unseen: _unseen.Unseen | None = None,
 ) -> _standing.Standing | None:
     """Choose an upstream for a flow's first packet.
 
@@ -52,6 +59,8 @@
     :param tried: names of upstreams that got the packet before.
     :param settings: the limits.
     :param limit: of those that warm up.
+    :param unseen: how much is placed between words of peers; None where
+        there are none.
     :returns: the upstream, None where there is none to try.
     """
     best: list[_standing.Standing] = []
@@ -64,9 +73,44 @@
         _, best = _find_best(now, standings, tried, settings, limit)
     if not best:
         return None
+    trust = _unseen.FULL_TRUST
+    if unseen is not None:
+        trust = unseen.note_opening(now, standings)
+    if trust < _unseen.FULL_TRUST:
+        return _draw_by_load(now, best, zone, hashed, settings, trust)
     return _choose_by_load(now, best, zone, hashed, settings)
 
 
+def _draw_by_load(
+    now: float,
+    standings: list[_standing.Standing],
+    zone: str,
+    hashed: int,
+    settings: _settings.AffinitySettings,
+    trust: float,
+) -> _standing.Standing:
+    """Draw one by the flow's hash, the less loaded the more often."""
+    rate, mean = _compute_mean(now, standings)
+    loads = [
+        (each, _compute_load(now, each, rate, settings)) for each in standings
+    ]
+    near = [each for each in loads if each[0].upstream.zone == zone]
+    if near:
+        near_mean = sum(load for _, load in near) / len(near)
+        if near_mean <= (1 + settings.near_tolerance) * mean:
+            loads, mean = near, near_mean
+    weights = []
+    for each, load in loads:
+        share = max(_LEAST_SHARE, 1 + trust * (1 - load / mean))
+        weights.append(each.compute_capacity(now) * share)
+    point = hashed * _POINT_FACTOR % _POINTS / _POINTS * sum(weights)
+    for (each, _), weight in zip(loads, weights):
+        point -= weight
+        if point < 0:
+            break
+    return each
+
+
 def _draw_sample(
     standings: Sequence[_standing.Standing], hashed: int, count: int
 ) -> list[_standing.Standing]:
@@ -142,15 +186,7 @@
     settings: _settings.AffinitySettings,
 ) -> _standing.Standing:
     # Every new flow passes here: two plain loops over the upstreams.
-    flows = 0
-    waiting = capacity = 0.0
-    for each in standings:
-        flows += each.flows + each.remote_flows
-        waiting += each.busy + each.remote_busy
-        capacity += each.compute_capacity(now)
-    # What a flow brings, on average.
-    rate = max(waiting / flows, _LEAST_RATE) if flows else 0.0
-    mean = (waiting + rate * flows + len(standings)) / capacity
+    rate, mean = _compute_mean(now, standings)
     limit = (1 + settings.near_tolerance) * mean
     least = nearest = None
     least_load = nearest_load = float('inf')
@@ -169,6 +205,20 @@
     return nearest if nearest_load <= limit else least
 
 
+def _compute_mean(
+    now: float, standings: list[_standing.Standing]
+) -> tuple[float, float]:
+    """Compute what a flow brings on average, and the mean load."""
+    flows = 0
+    waiting = capacity = 0.0
+    for each in standings:
+        flows += each.flows + each.remote_flows
+        waiting += each.busy + each.remote_busy
+        capacity += each.compute_capacity(now)
+    rate = max(waiting / flows, _LEAST_RATE) if flows else 0.0
+    return rate, (waiting + rate * flows + len(standings)) / capacity
+
+
 def _compute_load(
     now: float,
     standing: _standing.Standing,
--- a/skylarkfold/affinity/_route.py
+++ b/skylarkfold/affinity/_route.py
@@ -47,6 +47,28 @@
         self.is_preferred = False
         self._total = sum(weight for _, weight in self.shares)
 
+    def has_service(self, service: str) -> bool:
+        """Tell whether new flows may go to a service.
+
+        :param service: its name.
+        :returns: whether it has a weight.
+        """
+        return any(service == name for name, _ in self.shares)
+
+    def list_services(self, hashed: int) -> list[str]:
+        """List the services that a new flow may go to, in its order.
+
+        :param hashed: the flow's hash.
+        :returns: first the one that :meth:`choose_service` chooses, then the
+            others in turn; none has a weight of 0.
+        """
+        first = self.choose_service(hashed)
+        names = [service for service, _ in self.shares]
+        if first is None or len(names) == 1:
+            return names
+        place = names.index(first)
+        return names[place:] + names[:place]
+
     def choose_service(self, hashed: int) -> str | None:
         """Choose the service of a new flow.
 
--- a/skylarkfold/affinity/_settings.py
+++ b/skylarkfold/affinity/_settings.py
@@ -84,6 +84,13 @@
     :param warm_up_factor: by how much they may exceed, in any second, what
         its service is said to bear then.
     :param warm_up_slack: and how many more they may be.
+    :param speed_tolerance: an upstream counts as slower or faster than others
+        of its service when its answers take longer or less by this share; 0
+        where speeds are not learnt. Those of one machine differ by a tenth.
+    :param unseen_trust: how strongly the loads of upstreams decide between
+        them when as many flows are placed between two words of peers as an
+        upstream has requests at a time, where the least loaded one would be
+        chosen by all; 0 where it always is.
     :param choice_sample: of a service with more upstreams than this, a new
         flow is placed among so many of them. Reading all takes 3.7 ms before
         2,400 upstreams, a sample 0.2 ms; the busiest stays within 1.25
@@ -123,7 +130,9 @@
         'probe_tries',
         'repeat_seconds',
         'return_seconds',
+        'speed_tolerance',
         'suspect_limit',
+        'unseen_trust',
         'verdict_seconds',
         'warm_up_factor',
         'warm_up_slack',
@@ -159,6 +168,8 @@
         preferred_limit: float = 1.1,
         length_weight: float = 4.0,
         haste_weight: float = 8.0,
+        speed_tolerance: float = 0.15,
+        unseen_trust: float = 4.0,
         choice_sample: int = 128,
         near_tolerance: float = 0.1,
         follows_evacuations: bool = False,
@@ -193,6 +204,8 @@
         self.preferred_limit = preferred_limit
         self.length_weight = length_weight
         self.haste_weight = haste_weight
+        self.speed_tolerance = speed_tolerance
+        self.unseen_trust = unseen_trust
         self.choice_sample = choice_sample
         self.near_tolerance = near_tolerance
         self.follows_evacuations = follows_evacuations
--- a/skylarkfold/affinity/_standing.py
+++ b/skylarkfold/affinity/_standing.py
@@ -4,6 +4,7 @@
 
 import collections
 
+from skylarkfold.affinity import _evidence
 from skylarkfold.affinity import _settings
 from skylarkfold.affinity import _slowness
 from skylarkfold.affinity import _upstream
@@ -34,6 +35,13 @@
     :ivar remote_busy: the same at peers, on average of late.
     :ivar hasty_share: share of its answers of late that came much sooner
         than work takes, as failures do.
+    :ivar speed: how fast it works beside others of its service; 1 unless it
+        differs by more than chance.
+    :ivar speed_since: since when it is slower, faster or as usual.
+    :ivar evidence: what its answers here said of that of late, None where
+        there were none.
+    :ivar remote_answers: the weight of its answers at peers of late.
+    :ivar remote_slowness: what they said, added up.
     :ivar heard_at: when a packet last proved that it answers.
     :ivar heard_elsewhere_at: the same at a peer.
     :ivar silent_since: since when it did not answer, while in doubt.
@@ -72,6 +80,7 @@
         'busy',
         'compared_at',
         'control',
+        'evidence',
         'failed_at',
         'failures',
         'flows',
@@ -91,11 +100,15 @@
         'present_at',
         'probe_due',
         'probed_at',
+        'remote_answers',
         'remote_busy',
         'remote_flows',
+        'remote_slowness',
         'settled_at',
         'silent_since',
         'slowness',
+        'speed',
+        'speed_since',
         'upstream',
         'warming_until',
     )
@@ -113,6 +126,11 @@
         self.busy = 0
         self.remote_busy = 0.0
         self.hasty_share = 0.0
+        self.speed = 1.0
+        self.speed_since = now
+        self.evidence: _evidence.Evidence | None = None
+        self.remote_answers = 0.0
+        self.remote_slowness = 0.0
         self._busy_area = 0.0
         self._busy_at = now
         self._busy_told_at = now
@@ -165,12 +183,13 @@
         """Compute how much work it takes relative to others.
 
         :param now: the time.
-        :returns: its slots, fewer while it is slow from its start.
+        :returns: its slots by its speed, fewer while it is slow from its
+            start.
         """
-        slots = max(1, self.upstream.slots)
+        slots = max(1, self.upstream.slots) * self.speed
         if now < self.warming_until:
             return slots * self.slowness.share
-        return float(slots)
+        return slots
 
     def note_haste(self, is_hasty: bool) -> None:
         """Take whether an answer came much too soon.
--- a/skylarkfold/affinity/_tally.py
+++ b/skylarkfold/affinity/_tally.py
@@ -50,3 +50,11 @@
         :param reason: why.
         """
         self.counters[f'{name}.{reason}'] += 1
+
+    def observe(self, name: str, seconds: float) -> None:
+        """Count a duration.
+
+        :param name: one of this module's histograms.
+        :param seconds: the duration.
+        """
+        self.histograms[name].observe(seconds)
--- a/skylarkfold/affinity/_words.py
+++ b/skylarkfold/affinity/_words.py
@@ -58,13 +58,21 @@
         :returns: by incarnation of their upstream; requests on average
             since this was last asked.
         """
-        return {
-            standing.upstream.incarnation: upstream_load.UpstreamLoad(
-                standing.flows, standing.take_mean_busy(now)
-            )
-            for standing in self._directory
-            if standing.flows > 0
-        }
+        loads = {}
+        for standing in self._directory:
+            answers, slowness = 0.0, 0.0
+            if standing.evidence is not None:
+                answers, slowness = standing.evidence.tell(now)
+            if standing.flows > 0 or answers:
+                loads[standing.upstream.incarnation] = (
+                    upstream_load.UpstreamLoad(
+                        standing.flows,
+                        standing.take_mean_busy(now),
+                        answers,
+                        slowness,
+                    )
+                )
+        return loads
 
     def list_heard(
         self, now: float, incarnations: Iterable[int]
--- a/skylarkfold/explain/_story.py
+++ b/skylarkfold/explain/_story.py
@@ -25,7 +25,7 @@
     'lines left out',
 )
 _KNOWLEDGE = ('routes', 'evacuation')
-_UPSTREAM = ('upstream', 'health')
+_UPSTREAM = ('upstream', 'health', 'speed')
 
 
 class Event:
--- a/skylarkfold/measure/_mechanism.py
+++ b/skylarkfold/measure/_mechanism.py
@@ -46,6 +46,10 @@
     ),
     'room': Mechanism('room for short requests', {'length_weight': 1.0}),
     'hasty': Mechanism('no draw to hasty upstreams', {'haste_weight': 0.0}),
+    'speeds': Mechanism('speeds learnt', {'speed_tolerance': 0.0}),
+    'unseen': Mechanism(
+        'loads as far as they are known', {'unseen_trust': 0.0}
+    ),
     'loads': Mechanism('loads of peers', {'load_seconds': 0.0}),
     # Below any load; files hold no negative number, so that a file has 0:
     # the zone is preferred up to the mean only.
--- a/skylarkfold/relay/_codec.py
+++ b/skylarkfold/relay/_codec.py
@@ -16,14 +16,11 @@
 
 from skylarkfold import errors
 from skylarkfold.relay import _item
+from skylarkfold.relay import _load_codec
 from skylarkfold.relay import _messages
 from skylarkfold import revision as revisions
-from skylarkfold import upstream_load
 
-_VERSION = 4
-# Requests at a time are told in hundredths: on a fleet of sixty instances
-# one alone has a few of them.
-_BUSY_STEPS = 100
+_VERSION = 5
 _MOST_NUMBER = 1 << 62
 _MOST_LIST = 4096
 _NEVER_MILLISECONDS = -1
@@ -80,7 +77,7 @@
                 each.is_zone,
                 int(each.age_seconds * 1000),
                 {
-                    start: [load.flows, round(load.busy * _BUSY_STEPS)]
+                    start: _load_codec.list_load(load)
                     for start, load in each.loads.items()
                 },
             ]
@@ -301,10 +298,8 @@
         bool(is_zone),
         _check_count(age) / 1000,
         {
-            _check_count(start): upstream_load.UpstreamLoad(
-                _check_count(flows), _check_count(busy) / _BUSY_STEPS
-            )
-            for start, (flows, busy) in loads.items()
+            _check_count(start): _load_codec.convert_load(bool(is_zone), *load)
+            for start, load in loads.items()
         },
     )
 
--- a/skylarkfold/relay/_pace.py
+++ b/skylarkfold/relay/_pace.py
@@ -8,6 +8,8 @@
 
 # An upstream's entry in a report: five bytes of its start, a list, two counts.
 _ENTRY_BYTES = 8
+# What it says of its speed.
+_SPEED_BYTES = 3
 # A report with its source and age.
 _REPORT_BYTES = 24
 
@@ -63,6 +65,10 @@
         :param hosts: how many they go to.
         """
         size = sum(
-            _REPORT_BYTES + _ENTRY_BYTES * len(each.loads) for each in reports
+            _REPORT_BYTES
+            + _ENTRY_BYTES * len(each.loads)
+            + _SPEED_BYTES
+            * sum(1 for load in each.loads.values() if load.answers)
+            for each in reports
         )
         self.note_bytes(now, size * hosts)
--- a/skylarkfold/tests/affinity/test_heavy_load.py
+++ b/skylarkfold/tests/affinity/test_heavy_load.py
@@ -41,6 +41,8 @@
     'zone-lost': 0.95,
     'release-many': 0.979,
     'unequal': 0.976,
+    'speeds': 0.975,
+    'speeds-slow': 0.945,
     'unequal-work': 0.832,
 }
 # How far below no policy at all a pattern may fall: refusing what would be
--- /dev/null
+++ b/skylarkfold/tests/affinity/test_speeds.py
@@ -0,0 +1,261 @@
+"""Tests of the speeds of upstreams, learnt from answers that pass.
+
+They answer upstreams of one service on machines of several ages, and ones
+that turn slow for a while. What callers need: one that is slow gets less from
+the first seconds on, one that is well again gets its share within seconds,
+and where all are equal nothing changes for anyone.
+"""
+
+import collections
+import random
+
+import testtools
+
+from skylarkfold import affinity
+from skylarkfold.affinity import _admission
+from skylarkfold.affinity import _directory
+from skylarkfold.tests.affinity import deciders
+from skylarkfold.tests.affinity import samples
+from skylarkfold import upstream_load
+
+UNEQUAL = (0.6, 1.0, 1.6)
+WORK_SECONDS = 0.013
+# Of one upstream, at all instances.
+ANSWERS_PER_SECOND = 25
+MOST = upstream_load.MOST_ANSWERS
+
+
+class LearningTest(testtools.TestCase):
+    """One instance that sees all answers of some upstreams."""
+
+    def setUp(self):
+        super().setUp()
+        self.now = 0.0
+        self.draw = random.Random('speeds')
+        self.effects = []
+        self.build()
+
+    def build(self, **settings):
+        self.settings = affinity.AffinitySettings(**settings)
+        self.directory = _directory.Directory(self.settings)
+        self.entries = [samples.build_upstream(n + 1) for n in range(5)]
+        self.directory.replace(0.0, self.entries)
+        self.admission = _admission.Admission(self.settings, self.directory)
+
+    @property
+    def standings(self):
+        return self.directory.list_service(samples.SERVICE)
+
+    def list_speeds(self):
+        return [each.speed for each in self.standings]
+
+    def answer(self, seconds, speeds, tails=True):
+        """Let upstreams answer for some time, with one request at a time."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now += 1 / ANSWERS_PER_SECOND
+            for each, speed in zip(self.standings, speeds):
+                if not speed:
+                    continue
+                work = WORK_SECONDS * self.draw.lognormvariate(-0.125, 0.5)
+                if tails and self.draw.random() < 1 / 30:
+                    work *= 7
+                self.admission.note(
+                    self.now, each, samples.ADDRESS, 0, work / speed
+                )
+            self.effects += self.admission.refresh(self.now)
+
+    def test_equal_ones_stay_exactly_so_in_spite_of_long_tails(self):
+        for _ in range(300):
+            self.answer(0.2, [1.0] * 5)
+            self.assertEqual([1.0] * 5, self.list_speeds())
+        self.assertEqual([], self.effects)
+
+    def test_one_that_turns_slow_is_known_within_two_seconds(self):
+        self.answer(4.0, [1.0] * 5)
+        self.answer(2.0, [1 / 6, 1.0, 1.0, 1.0, 1.0])
+        slow, *others = self.list_speeds()
+        self.assertLess(slow, 0.5)
+        self.assertEqual([1.0] * 4, others)
+
+    def test_one_that_is_well_again_has_its_share_within_six_seconds(self):
+        self.answer(10.0, [1 / 6, 1.0, 1.0, 1.0, 1.0])
+        self.answer(6.0, [1.0] * 5)
+        self.assertEqual([1.0] * 5, self.list_speeds())
+
+    def test_one_that_gets_no_work_any_more_is_tried_again(self):
+        self.answer(10.0, [1 / 6, 1.0, 1.0, 1.0, 1.0])
+        self.answer(10.0, [0, 1.0, 1.0, 1.0, 1.0])
+        self.assertEqual([1.0] * 5, self.list_speeds())
+
+    def test_machines_of_three_ages_are_told_apart(self):
+        self.answer(6.0, [0.6, 1.0, 1.0, 1.0, 1.6])
+        slow, *usual, fast = self.list_speeds()
+        self.assertTrue(0.45 < slow < 0.8, slow)
+        self.assertTrue(1.25 < fast < 2.0, fast)
+        self.assertEqual([1.0] * 3, usual)
+
+    def test_a_new_start_is_as_usual(self):
+        self.answer(6.0, [0.4, 1.0, 1.0, 1.0, 1.0])
+        again = samples.build_upstream(1, born=7)
+        self.directory.replace(self.now, [again, *self.entries[1:]])
+        standing = self.directory.get(again.name)
+        self.assertEqual(1.0, standing.speed)
+        self.assertIsNone(standing.evidence)
+
+    def test_a_queue_is_no_slowness(self):
+        self.answer(6.0, [1.0] * 5, tails=False)
+        queued = self.standings[0]
+        # Eight on two slots: four turns.
+        queued.remote_busy = 8.0
+        self.answer(4.0, [0.25, 1.0, 1.0, 1.0, 1.0], tails=False)
+        self.assertEqual(1.0, queued.speed)
+
+    def test_one_that_fails_at_once_is_no_fast_one(self):
+        self.answer(4.0, [1.0] * 5)
+        self.answer(4.0, [20.0, 1.0, 1.0, 1.0, 1.0], tails=False)
+        self.assertEqual([1.0] * 5, self.list_speeds())
+
+    def test_one_peer_that_errs_changes_nothing(self):
+        # What it may say of an upstream at most, besides the true word of 25
+        # answers a second.
+        for said in (upstream_load.MOST_MEAN, -upstream_load.MOST_MEAN):
+            self.answer(4.0, [1.0] * 5)
+            self.standings[0].remote_answers = MOST
+            self.standings[0].remote_slowness = MOST * said
+            self.answer(1.0, [1.0] * 5)
+            self.assertEqual([1.0] * 5, self.list_speeds())
+
+    def test_speeds_are_learnt_from_peers_alone(self):
+        for number, each in enumerate(self.standings):
+            each.remote_answers = 60.0
+            each.remote_slowness = 60.0 * (number == 0)
+        for second in range(6):
+            self.admission.refresh(float(second))
+        slow, *others = self.list_speeds()
+        self.assertLess(slow, 0.5)
+        self.assertEqual([1.0] * 4, others)
+
+    def test_what_changes_is_said_once_with_its_grounds(self):
+        self.answer(4.0, [1.0] * 5)
+        self.answer(4.0, [0.3, 1.0, 1.0, 1.0, 1.0])
+        self.answer(8.0, [1.0] * 5)
+        self.assertEqual(
+            ['slow', 'usual'], [each.reason for each in self.effects]
+        )
+        slow, usual = self.effects
+        self.assertEqual('speed', slow.kind)
+        self.assertEqual('i-0000000001', slow.upstream)
+        self.assertLess(slow.details['speed'], 0.9)
+        self.assertGreater(slow.details['own_answers'], 10)
+        self.assertEqual(0.0, slow.details['peers_answers'])
+        self.assertGreater(usual.details['lasted_ms'], 3000)
+
+    def test_switched_off_nothing_is_kept(self):
+        self.build(speed_tolerance=0.0)
+        self.answer(6.0, [0.3, 1.0, 1.0, 1.0, 1.0])
+        self.assertEqual([1.0] * 5, self.list_speeds())
+        kept = {each.evidence for each in self.standings}
+        self.assertEqual({None}, kept)
+
+    def test_gauges_tell_the_slowest_and_the_busiest(self):
+        self.assertEqual(0, self.directory.count_slow())
+        self.assertEqual(1.0, self.directory.find_slowest())
+        self.answer(8.0, [0.5, 1.0, 1.0, 1.0, 1.0])
+        slow = self.standings[0]
+        self.assertEqual(1, self.directory.count_slow())
+        self.assertEqual(slow.speed, self.directory.find_slowest())
+        # Nobody has work: how soon the next request would be answered.
+        soon = 1 / slow.speed
+        self.assertAlmostEqual(
+            soon * 5 / (soon + 4), self.directory.compute_busiest(self.now)
+        )
+
+    def test_where_a_flow_is_opened_its_speed_is_said(self):
+        core = samples.build_core(samples.build_upstream(1))
+        next(iter(core.directory)).speed = 0.5
+        opened, _ = core.take_packet(0.0, samples.build_first(1))
+        self.assertEqual(0.5, opened.details['speed'])
+
+    def test_a_slow_one_answers_later_by_estimate(self):
+        self.answer(8.0, [0.5, 1.0, 1.0, 1.0, 1.0])
+        route = samples.build_routes().get(samples.ADDRESS)
+        slow, usual, *_ = self.standings
+        late = self.admission.estimate(self.now, route, slow).seconds
+        soon = self.admission.estimate(self.now, route, usual).seconds
+        self.assertAlmostEqual(soon / slow.speed, late)
+
+
+class FleetTest(testtools.TestCase):
+    """Many instances, each with a part of the answers, and old words."""
+
+    def test_equal_ones_stay_so(self):
+        for count, upstreams, age in (
+            (1, 9, 0.2),
+            (7, 9, 0.2),
+            (7, 9, 1.0),
+            (64, 24, 0.4),
+        ):
+            fleet = deciders.Deciders(count, [1.0] * upstreams, age, 0.5)
+            for step in range(1, 7):
+                fleet.run(step)
+                self.assertEqual([1.0] * upstreams, fleet.list_known())
+
+    def test_three_ages_are_told_apart_by_all(self):
+        for count, upstreams, age in (
+            (1, 9, 0.2),
+            (7, 9, 0.4),
+            (64, 24, 0.4),
+        ):
+            speeds = [UNEQUAL[n % 3] for n in range(upstreams)]
+            fleet = deciders.Deciders(count, speeds, age, 0.5)
+            fleet.run(8.0)
+            known = collections.defaultdict(list)
+            for speed, each in zip(speeds, fleet.list_known()):
+                known[speed].append(each)
+            slow, usual, fast = (
+                sum(known[each]) / len(known[each]) for each in UNEQUAL
+            )
+            case = (count, slow, usual, fast)
+            self.assertLess(slow, 0.8, case)
+            self.assertTrue(0.9 < usual < 1.1, case)
+            self.assertGreater(fast, 1.3, case)
+
+    def test_callers_wait_less_than_where_slots_alone_count(self):
+        for count, upstreams, age in (
+            (1, 9, 0.2),
+            (7, 9, 0.2),
+            (7, 9, 2.0),
+            (64, 24, 0.2),
+            (64, 24, 1.0),
+        ):
+            speeds = [UNEQUAL[n % 3] for n in range(upstreams)]
+            waits = []
+            for tolerance in (0.15, 0.0):
+                fleet = deciders.Deciders(
+                    count, speeds, age, 0.6, speed_tolerance=tolerance
+                )
+                fleet.run(3.0)
+                fleet.run(8.0)
+                waits.append(fleet.compute_wait())
+            self.assertLess(waits[0], waits[1], (count, age))
+
+    def test_six_hundred_do_not_all_choose_the_same(self):
+        speeds = [UNEQUAL[n % 3] for n in range(24)]
+        waits = []
+        for trust in (4.0, 0.0):
+            fleet = deciders.Deciders(
+                600, speeds, 1.0, 0.6, unseen_trust=trust
+            )
+            fleet.run(4.0)
+            fleet.run(6.0)
+            waits.append(fleet.compute_wait())
+        self.assertLess(waits[0], waits[1] / 2)
+
+    def test_one_liar_among_seven_sends_nobody_astray(self):
+        lie = (0, 0.0, MOST, MOST * upstream_load.MOST_MEAN)
+        told = [lie] + [(0, 0.0, 0.0, 0.0)] * 8
+        fleet = deciders.Deciders(7, [1.0] * 9, 0.2, 0.5, told=told)
+        for step in range(2, 7):
+            fleet.run(step)
+            self.assertEqual([1.0] * 9, fleet.list_known())
--- /dev/null
+++ b/skylarkfold/tests/affinity/test_unseen.py
@@ -0,0 +1,78 @@
+"""Tests of how far the loads that peers told may be trusted.
+
+They answer many instances that place many short flows between two words of
+one another: all that choose the least loaded upstream choose the same one,
+whose callers then wait.
+"""
+
+import collections
+
+import testtools
+
+from skylarkfold import affinity
+from skylarkfold.affinity import _directory
+from skylarkfold.affinity import _placement
+from skylarkfold.affinity import _unseen
+from skylarkfold.affinity import _warm_up
+from skylarkfold.tests.affinity import samples
+
+UPSTREAMS = 9
+FLOWS = 450
+ZONE = samples.ZONE
+
+
+class UnseenTest(testtools.TestCase):
+    def place(self, per_second, remote, trust=4.0):
+        """Place flows that nobody hears of; the first one seems idle."""
+        settings = affinity.AffinitySettings(unseen_trust=trust)
+        directory = _directory.Directory(settings)
+        directory.replace(
+            0.0, [samples.build_upstream(n + 1) for n in range(UPSTREAMS)]
+        )
+        standings = directory.list_service(samples.SERVICE)
+        for each in standings[1:]:
+            each.flows = 1
+            each.remote_flows = remote
+            each.remote_busy = 1.0
+        unseen = None
+        if trust:
+            unseen = _unseen.Unseen(trust, directory)
+        limit = _warm_up.WarmUpLimit(ZONE, settings)
+        chosen = collections.Counter()
+        for number in range(FLOWS):
+            hashed = _placement.hash_flow(samples.build_flow(number))
+            found = _placement.choose_upstream(
+                number / per_second,
+                standings,
+                ZONE,
+                hashed,
+                (),
+                settings,
+                limit,
+                unseen,
+            )
+            chosen[found.upstream.name] += 1
+        return chosen
+
+    def test_one_alone_chooses_the_least_loaded(self):
+        chosen = self.place(per_second=500, remote=0)
+        self.assertEqual({'i-0000000001': FLOWS}, chosen)
+
+    def test_so_do_some_that_place_few(self):
+        chosen = self.place(per_second=5, remote=6)
+        self.assertEqual({'i-0000000001': FLOWS}, chosen)
+
+    def test_many_that_place_many_use_all_by_their_share(self):
+        chosen = self.place(per_second=50, remote=63)
+        self.assertEqual(UPSTREAMS, len(chosen))
+        self.assertLess(max(chosen.values()), 2 * FLOWS / UPSTREAMS)
+
+    def test_switched_off_the_least_loaded_is_chosen(self):
+        chosen = self.place(per_second=50, remote=63, trust=0.0)
+        self.assertEqual({'i-0000000001': FLOWS}, chosen)
+
+    def test_words_that_come_seldom_are_trusted_less(self):
+        directory = _directory.Directory(affinity.AffinitySettings())
+        for _ in range(100):
+            directory.note_gap(1.0)
+        self.assertAlmostEqual(1.0, directory.gap_seconds, places=2)
--- a/skylarkfold/tests/relay/test_messages.py
+++ b/skylarkfold/tests/relay/test_messages.py
@@ -35,6 +35,15 @@
             upstream_load.UpstreamLoad,
             COUNTS,
             strategies.integers(0, 999).map(lambda number: number / 100),
+        )
+        | strategies.builds(
+            upstream_load.UpstreamLoad,
+            COUNTS,
+            strategies.just(0.25),
+            strategies.just(1.5),
+            strategies.integers(-110, 110).map(
+                lambda number: 1.5 * number / 80
+            ),
         ),
         max_size=3,
     ),
