--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -7,6 +7,7 @@
 from skylarkfold.affinity import _admission
 from skylarkfold.affinity import _binding
 from skylarkfold.affinity import _certainty
+from skylarkfold.affinity import _destination
 from skylarkfold.affinity import _directory
 from skylarkfold.affinity import _effect
 from skylarkfold.affinity import _ending
@@ -62,7 +63,7 @@
         self._directory = _directory.Directory(settings)
         self._flows = _flow.FlowTable(settings.flow_limit)
         self._ending = _ending.Ending(settings, self._flows, self.tally)
-        self._admission = _admission.Admission(settings)
+        self._admission = _admission.Admission(settings, self._directory)
         self._suspects = _suspects.Suspects(
             zone,
             settings,
@@ -87,6 +88,7 @@
             self._refusals,
             self.tally,
             self.room,
+            self._peer_loads.unseen,
         )
         self._binding = _binding.Binding(
             self._directory, self._flows, self._health
@@ -273,26 +275,29 @@
         if link is not None and link.is_waiting(packet.flow):
             return self._drop(Reason.REPEATED)
         hashed = _placement.hash_flow(packet.flow)
-        service = route.choose_service(hashed)
+        found = _destination.find_destination(
+            now, route, hashed, self._opener, self._admission
+        )
         # Of a copy, another instance may have placed the first one.
         is_copy = packet.acknowledged > 0
         sharing = self.shares.sharing
         if sharing is not None and not is_copy and not has_waited:
+            service = found and found.standing.upstream.service
             refused = sharing.take_first(
                 now, packet, route, service, hashed, self._routes.version
             )
             if refused:
                 return refused
-        standing = self._opener.choose(now, service, hashed)
-        if standing is None:
+        if found is None:
             return self._refuse(packet, Reason.NO_UPSTREAM)
-        expected = self._admission.estimate(now, route, standing)
+        standing = found.standing
         if not has_waited:
-            waits = self.tally.histograms[_tally.WAIT_SECONDS]
-            waits.observe(expected.wait_seconds)
-        if not is_copy and self._admission.is_refused(route, expected, hashed):
+            self.tally.observe(
+                _tally.WAIT_SECONDS, found.expected.wait_seconds
+            )
+        if not is_copy and found.is_crowded:
             return self._refusals.refuse_crowded(
-                packet, self._routes.version, route, standing, expected
+                packet, self._routes.version, route, standing, found.expected
             )
         if link is not None and not route.is_preferred:
             if not has_waited:
--- a/skylarkfold/affinity/_opening.py
+++ b/skylarkfold/affinity/_opening.py
@@ -15,6 +15,7 @@
 from skylarkfold.affinity import _settings
 from skylarkfold.affinity import _standing
 from skylarkfold.affinity import _tally
+from skylarkfold.affinity import _unseen
 from skylarkfold.affinity import _warm_up
 from skylarkfold import room as rooms
 
@@ -32,6 +33,7 @@
     :param refusals: refuses what no upstream may get.
     :param tally: where flows are counted.
     :param room: this instance's own.
+    :param unseen: how much is placed between words of peers.
     """
 
     __slots__ = (
@@ -42,6 +44,7 @@
         '_room',
         '_settings',
         '_tally',
+        '_unseen',
         '_waiting',
         '_zone',
     )
@@ -56,6 +59,7 @@
         refusals: _refusal.Refusals,
         tally: _tally.Tally,
         room: rooms.InstanceRoom,
+        unseen: _unseen.Unseen | None,
     ) -> None:
         self._zone = zone
         self._settings = settings
@@ -65,6 +69,7 @@
         self._refusals = refusals
         self._tally = tally
         self._room = room
+        self._unseen = unseen
         self._waiting: collections.deque[tuple[float, _flow.Flow]] = (
             collections.deque()
         )
@@ -94,6 +99,7 @@
             tried,
             self._settings,
             self._limit,
+            self._unseen,
         )
 
     def send(
@@ -127,6 +133,8 @@
             'health': standing.health,
             'try': len(flow.tried),
         }
+        if standing.speed != 1.0:
+            details['speed'] = round(standing.speed, 2)
         name = standing.upstream.name
         return [
             _effect.Record('open', reason, flow.key, name, details),
@@ -217,5 +225,7 @@
         if route is None:
             return None
         hashed = _placement.hash_flow(flow.key)
-        service = route.choose_service(hashed)
+        service = flow.standing.upstream.service
+        if not route.has_service(service):
+            service = route.choose_service(hashed)
         return self.choose(now, service, hashed, tried)
--- a/skylarkfold/relay/_codec.py
+++ b/skylarkfold/relay/_codec.py
@@ -9,20 +9,17 @@
 
 from collections.abc import Iterable
 import math
-import struct
 import zlib
 
 from skylarkfold import errors
 from skylarkfold import lean
+from skylarkfold.relay import _age_codec
 from skylarkfold.relay import _item
+from skylarkfold.relay import _load_codec
 from skylarkfold.relay import _messages
 from skylarkfold import revision as revisions
-from skylarkfold import upstream_load
 
 _VERSION = 5
-# Requests at a time are told in hundredths: on a fleet of sixty instances
-# one alone has a few of them.
-_BUSY_STEPS = 100
 _MOST_NUMBER = 1 << 62
 _MOST_LIST = 4096
 _MOST_CALLER_BYTES = 1024
@@ -30,12 +27,6 @@
 # A page of 3,800 upstreams is 1 MB before it is packed.
 MAXIMUM_PAGE_BYTES = 16 * 1024 * 1024
 
-# An age: the digest of a name, and tenths of a second in one byte, since
-# every instance of a zone is told of several times a second.
-_AGE = struct.Struct('!IB')
-_AGE_STEPS = 10
-_MOST_AGE = 255
-
 _IS_LEAVING = 1
 _WANTS_ANSWER = 2
 
@@ -80,7 +71,7 @@
                 each.is_zone,
                 int(each.age_seconds * 1000),
                 {
-                    start: [load.flows, round(load.busy * _BUSY_STEPS)]
+                    start: _load_codec.list_load(load)
                     for start, load in each.loads.items()
                 },
             ]
@@ -99,8 +90,8 @@
         beacon.doubts,
         {start: int(age * 1000) for start, age in beacon.heard.items()},
         beacon.lost,
-        _pack_ages(beacon.ages),
-        _pack_ages(beacon.silent),
+        _age_codec.pack_ages(beacon.ages),
+        _age_codec.pack_ages(beacon.silent),
     ]
     callers = beacon.callers
     if callers is not None:
@@ -271,26 +262,12 @@
             for start, age in heard.items()
         },
         tuple(_check_count(each) for each in _check_list(lost)),
-        _unpack_ages(ages),
-        _unpack_ages(silent),
+        _age_codec.unpack_ages(ages),
+        _age_codec.unpack_ages(silent),
         None if callers is None else _convert_callers(*callers),
     )
 
 
-def _pack_ages(ages: dict[int, float]) -> bytes:
-    # Rounded up: an age that shrank on its way would keep alive what is not.
-    return b''.join(
-        _AGE.pack(digest, min(_MOST_AGE, math.ceil(age * _AGE_STEPS)))
-        for digest, age in ages.items()
-    )
-
-
-def _unpack_ages(data: object) -> dict[int, float]:
-    if not isinstance(data, bytes) or len(data) % _AGE.size:
-        raise errors.DecodeError('ages')
-    return {digest: age / _AGE_STEPS for digest, age in _AGE.iter_unpack(data)}
-
-
 def _convert_callers(
     word: object, elsewhere: object, age: object
 ) -> _messages.CallerReport:
@@ -317,10 +294,8 @@
         bool(is_zone),
         _check_count(age) / 1000,
         {
-            _check_count(start): upstream_load.UpstreamLoad(
-                _check_count(flows), _check_count(busy) / _BUSY_STEPS
-            )
-            for start, (flows, busy) in loads.items()
+            _check_count(start): _load_codec.convert_load(bool(is_zone), *load)
+            for start, load in loads.items()
         },
     )
 
