Soak: runs at the same time have ports of their own

Cause (by reading; the log of the one failure was gone): a run looked for a port that was free on one host, and bound it on others later; all instances ended with status 6 while other runs went on beside it. The ports are held now from the moment that they are found.

--- a/skylarkfold/soak/_world.py
+++ b/skylarkfold/soak/_world.py
@@ -67,7 +67,7 @@
         self.is_over = False
         self._numbers = itertools.count(1)
         self._requests = itertools.count(1)
-        self._port = _find_port()
+        self._reservation, self._port = _reserve_ports()
         self._faulty: dict[str, str] = {}
         self.server = packets.StoreServer(
             self.loop, ('127.0.0.1', 0), self.store
@@ -303,6 +303,7 @@
         for relay in self.store_relays.values():
             relay.close()
         self.server.close()
+        self._reservation.close()
         self.loop.close()
 
     def _leave(self, upstream: packets.Upstream) -> None:
@@ -342,9 +343,24 @@
             instance.send(signal.SIGKILL)
 
 
-def _find_port() -> int:
-    """Find a port whose next ones are likely free as well."""
-    with socket.socket() as free:
-        free.bind(('127.0.0.1', 0))
-        found = free.getsockname()[1]
-    return min(found, 65535 - _PORTS)
+def _reserve_ports() -> tuple[socket.socket, int]:
+    """Reserve ports that no other run on this machine uses.
+
+    All runs share their hosts, so that one in another process could take
+    the same ports in the moment between looking and binding.
+
+    :returns: what holds the reservation, and the first of the ports.
+    """
+    while True:
+        with socket.socket() as free:
+            free.bind(('127.0.0.1', 0))
+            found = free.getsockname()[1]
+        first = found - found % _PORTS
+        holder = socket.socket()
+        try:
+            holder.bind(('127.0.0.1', first))
+        except OSError:
+            # Another run has them.
+            holder.close()
+            continue
+        return holder, first
