Health: an upstream that is busy is not taken for gone by its silence

Cause, by reading, not yet traced with lines: an upstream with more requests than slots answers late, and its queue of new connections may be full, so that probes get no answer either while a control at an idle one does.

Change: one with more requests than slots keeps its flows until it was silent for 1.5 s; what does not fit its queue is sent again after a second. Dead ones without a load are found as before.

--- a/skylarkfold/affinity/_evidence.py
+++ b/skylarkfold/affinity/_evidence.py
@@ -135,6 +135,8 @@
         :param standing: the upstream that they are of.
         :returns: how many; 0 where no number would do.
         """
+        if self._may_be_busy(now, standing):
+            return 0
         settings = self._settings
         since = now - settings.verdict_seconds
         elsewhere = {
@@ -145,3 +147,16 @@
         is_wide = len(elsewhere) >= settings.wide_suspects
         least = settings.wide_tries if is_wide else settings.probe_tries
         return self._room.count_tries(now, least)
+
+    def _may_be_busy(self, now: float, standing: _standing.Standing) -> bool:
+        """Tell whether an upstream may be silent for its load alone.
+
+        One with more requests than slots, whose queue of new connections may
+        be full as well, takes no probe either.
+        """
+        if standing.waiting <= standing.compute_capacity(now):
+            return False
+        silent_since = standing.silent_since
+        if standing.last_heard > float('-inf'):
+            silent_since = standing.last_heard
+        return now - silent_since < self._settings.busy_silence_seconds
--- a/skylarkfold/affinity/_settings.py
+++ b/skylarkfold/affinity/_settings.py
@@ -32,6 +32,10 @@
     :param wide_tries: probes in a row that must fail then. Of a link that
         loses three in ten, four and their controls tell wrong twice in a
         thousand, two and one control six times in a hundred.
+    :param busy_silence_seconds: an upstream with more requests than slots is
+        not taken for out of reach before it was silent for so long: its
+        queue of new connections may be full, and what does not fit is sent
+        again after a second.
     :param probe_pause_seconds: the pause between two probes of one
         upstream that answered or is out of reach.
     :param zone_failures: upstreams of another zone that must be out of
@@ -109,6 +113,7 @@
     __slots__ = (
         'active_seconds',
         'ask_seconds',
+        'busy_silence_seconds',
         'answer_patience_seconds',
         'choice_sample',
         'crowd_limit',
@@ -159,6 +164,7 @@
         probe_tries: int = 2,
         wide_suspects: int = 2,
         wide_tries: int = 4,
+        busy_silence_seconds: float = 1.5,
         probe_pause_seconds: float = 0.4,
         zone_failures: int = 2,
         suspect_limit: int = 32,
@@ -197,6 +203,7 @@
         self.probe_tries = probe_tries
         self.wide_suspects = wide_suspects
         self.wide_tries = wide_tries
+        self.busy_silence_seconds = busy_silence_seconds
         self.probe_pause_seconds = probe_pause_seconds
         self.zone_failures = zone_failures
         self.suspect_limit = suspect_limit
--- a/skylarkfold/tests/affinity/test_own_link.py
+++ b/skylarkfold/tests/affinity/test_own_link.py
@@ -280,3 +280,67 @@
         self.fill(1.0)
         lost = [self.upstreams[1].incarnation]
         self.assertEqual([], self.core.take_lost(1.0, lost))
+
+
+class BusyUpstreamTest(testtools.TestCase):
+    """An upstream that is too busy for probes keeps its flows."""
+
+    REQUESTS = 9
+
+    def setUp(self):
+        super().setUp()
+        self.busy, self.other = (
+            samples.build_upstream(number, slots=2) for number in (1, 2)
+        )
+        self.core = samples.build_core(self.busy, self.other)
+        for port in range(1, 1 + self.REQUESTS):
+            packet = samples.build_packet(port, self.busy.token)
+            self.core.take_packet(0.9, packet)
+            packet = samples.build_packet(port, self.busy.token, length=100)
+            self.core.take_packet(1.0, packet)
+
+    def repeat(self, now, resets):
+        """Have callers repeat what is not answered."""
+        effects = []
+        for port in range(1, 1 + self.REQUESTS):
+            if samples.build_flow(port) not in resets:
+                packet = samples.build_packet(
+                    port, self.busy.token, length=100
+                )
+                effects += self.core.take_packet(now, packet)
+        return effects
+
+    def run_until(self, now, until):
+        """Have the busy one take no probe, and the other one all."""
+        resets = []
+        again = now + REPEAT_SECONDS
+        while now < until:
+            now += 0.01
+            effects = self.core.tick(now)
+            if now >= again:
+                again += REPEAT_SECONDS
+                effects += self.repeat(now, resets)
+            while effects:
+                resets += samples.list_resets(effects)
+                probes = [
+                    each
+                    for each in effects
+                    if isinstance(each, affinity.Probe)
+                ]
+                effects = []
+                for each in probes:
+                    is_busy = each.upstream is self.busy
+                    outcome = affinity.ProbeOutcome.ALIVE
+                    if is_busy:
+                        outcome = affinity.ProbeOutcome.SILENT
+                    effects += self.core.take_probe(
+                        now, each.upstream.name, outcome, None, each.is_control
+                    )
+        return resets
+
+    def test_its_flows_are_not_reset_while_its_queue_may_be_full(self):
+        self.assertEqual([], self.run_until(1.0, 2.4))
+
+    def test_they_are_once_it_was_silent_for_longer(self):
+        resets = self.run_until(1.0, 3.5)
+        self.assertEqual(self.REQUESTS, len(set(resets)))
