Relay: know a change in time whatever the watchers have lost

Cause: an instance that isn't a watcher called the store only once the last answer that it knew of was 4.0 s old (wait_seconds 3.0, substitute_seconds 1.0, 0.2 s more a rank), and a watcher without the store kept its duty. Neither time was derived from the bound that the deployment states; the bound of draining upstreams wasn't even read. A substitute that had been answered stopped calling for another 4 s, so that each change of the same cut came late.

Change: the ages follow from the shortest stated bound B. Some watcher is answered within min(3 s, 0.7 B less 0.6 s for beacons), the first substitute calls at 0.7 B, the last of any number at 0.85 B, callers doubling in equal steps by rank. It applies to watchers as well, whose watches are given up for it. A substitute first asks without waiting, not with a listing, then keeps a watch until an instance of a lower rank is answered; beacons (format 6) say whom the store answered. Answers of the zones' watchers are spread, so that calls at rest stay one in 3 s a zone and topic.

Why this works: a change that nobody has passed on was written after the last answer, so it is known in time if the answer's age is bounded. No timeout of a call and no detection of a lost neighbour is part of the sum; 0.15 B is left for the call itself.

--- a/skylarkfold/forwarder/_settings.py
+++ b/skylarkfold/forwarder/_settings.py
@@ -137,6 +137,7 @@
     forwarder_settings.relay.serve_bytes_per_second = (
         _PEER_SERVING_SHARE * link_rate
     )
+    forwarder_settings.relay.change_seconds = settings.propagation_seconds
     # After that, a rewritten change is in force on all instances.
     forwarder_settings.relay.lasting_seconds = (
         settings.change_seconds + settings.disturbed_seconds
--- a/skylarkfold/machine.py
+++ b/skylarkfold/machine.py
@@ -20,6 +20,7 @@
 _DEFAULT_GRACE_SECONDS = 6.0
 _DEFAULT_FLOW_SECONDS = 60.0
 _DEFAULT_CHANGE_SECONDS = 3.0
+_DEFAULT_DRAIN_SECONDS = 3.0
 _DEFAULT_DISTURBED_SECONDS = 12.0
 # Processor time and bandwidth that make up one unit of capacity.
 _CORES_PER_UNIT = 0.1
@@ -53,6 +54,8 @@
         of that; None if there is no limit.
     :param change_seconds: the time within which a change of the routes must
         be in force.
+    :param drain_seconds: the time within which upstreams that are draining or
+        gone must get no more requests.
     :param disturbed_seconds: the additional time allowed after the store was
         disturbed.
     :param terms: other requirements of the deployment, in the platform's
@@ -63,6 +66,7 @@
         'change_seconds',
         'cores',
         'disturbed_seconds',
+        'drain_seconds',
         'evacuation_seconds',
         'flow_seconds',
         'grace_seconds',
@@ -98,6 +102,7 @@
         warm_up_factor: float = 1.0,
         warm_up_slack: float | None = None,
         change_seconds: float = _DEFAULT_CHANGE_SECONDS,
+        drain_seconds: float = _DEFAULT_DRAIN_SECONDS,
         disturbed_seconds: float = _DEFAULT_DISTURBED_SECONDS,
         terms: tuple[str, ...] = (),
     ) -> None:
@@ -117,6 +122,7 @@
         self.warm_up_factor = warm_up_factor
         self.warm_up_slack = warm_up_slack
         self.change_seconds = change_seconds
+        self.drain_seconds = drain_seconds
         self.disturbed_seconds = disturbed_seconds
         self.terms = terms
 
@@ -132,6 +138,14 @@
         link_units = self.link_mbps / _MBPS_PER_UNIT
         return int(min(core_units, link_units, _MAXIMUM_CAPACITY))
 
+    @property
+    def propagation_seconds(self) -> float:
+        """The time within which any change in the store must be in force."""
+        bounds = [self.change_seconds, self.drain_seconds]
+        if self.evacuation_seconds is not None:
+            bounds.append(self.evacuation_seconds)
+        return min(bounds)
+
     @property
     def link_bytes_per_second(self) -> float:
         """The bandwidth of the link, in bytes per second."""
@@ -238,6 +252,7 @@
         change_seconds=reader.get_seconds(
             'change_ms', _DEFAULT_CHANGE_SECONDS
         ),
+        drain_seconds=reader.get_seconds('drain_ms', _DEFAULT_DRAIN_SECONDS),
         disturbed_seconds=reader.get_seconds(
             'disturbed_ms', _DEFAULT_DISTURBED_SECONDS
         ),
--- a/skylarkfold/relay/_codec.py
+++ b/skylarkfold/relay/_codec.py
@@ -20,7 +20,7 @@
 from skylarkfold.relay import _messages
 from skylarkfold import revision as revisions
 
-_VERSION = 5
+_VERSION = 6
 _MAXIMUM_NUMBER = 1 << 62
 _MAXIMUM_LIST_LENGTH = 4096
 _MAXIMUM_DEMAND_BYTES = 1024
@@ -55,6 +55,7 @@
                 each.changed.number,
                 _to_milliseconds(each.age_seconds),
                 each.retained,
+                each.confirmed_by,
             ]
             for each in beacon.positions
         ],
@@ -259,8 +260,16 @@
                 _check_revision(era, changed),
                 _to_seconds(age),
                 _check_count(retained),
+                _check_count(confirmed_by),
             )
-            for era, number, changed, age, retained in _check_list(positions)
+            for (
+                era,
+                number,
+                changed,
+                age,
+                retained,
+                confirmed_by,
+            ) in _check_list(positions)
         ),
         None if delta is None else _convert_delta(delta),
         tuple(_convert_load_report(*each) for each in _check_list(loads)),
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -24,6 +24,9 @@
 # that some instances of a zone retry soon after a partition has healed.
 _MINIMUM_JITTER = 0.1
 _MAXIMUM_JITTER = 1.9
+# An answer of the store that is newer than the last announced one by more than
+# this share of the interval between answers is announced at once.
+_ANNOUNCED_GAIN = 0.5
 # How long a watch outlasts the time at which its answer settles a topic.
 _SETTLE_MARGIN_SECONDS = 0.05
 
@@ -82,6 +85,8 @@
         self._watcher_selection = _watcher_selection.WatcherSelection(
             self._peers, self._topics, settings
         )
+        # The store's last answer about each topic that beacons have told of.
+        self._announced_answers = [_NEVER] * len(self._topics)
         self._ticked_at = _NEVER
         self._next_near_beacon = _NEVER
         self._next_far_beacon = _NEVER
@@ -178,12 +183,15 @@
         elif now - self._ticked_at > self._settings.pause_seconds:
             effects += self._resume(now)
         self._ticked_at = now
-        if self._announcer.callers.is_urgent:
+        if self._announcer.callers.is_urgent or self._has_newer_answer():
             self._announcer.callers.is_urgent = False
             self._next_near_beacon = self._next_far_beacon = now
         if now >= self._next_near_beacon:
             self._next_near_beacon = now + self._settings.beacon_seconds
             self._peers.refresh(now)
+            self._announced_answers = [
+                topic.confirmed_at for topic in self._topics
+            ]
             effects += self._announcer.send_near(now)
         if now >= self._next_far_beacon:
             self._next_far_beacon = now + self._settings.far_seconds
@@ -212,6 +220,7 @@
         """
         topic = self._by_name[call.topic]
         update = topic.reader.handle_answer(now, call, answer)
+        self._watcher_selection.handle_answer(topic, call, update)
         if update is None:
             return self._call_store(now)
         if update.revision < topic.position:
@@ -220,13 +229,13 @@
                 *_record_stale_store(now, topic, update),
                 *self._call_store(now),
             ]
-        topic.reader.record_applied()
+        topic.reader.record_applied(now)
         base = topic.position
         if update.is_listing:
             changed = topic.apply_listing(now, update.items, update.revision)
         else:
             changed = topic.apply_changes(update.items, update.revision)
-        topic.confirm(now)
+        topic.confirm(now, self._peers.compute_fleet_rank())
         effects = self._synchronizer.announce_changes(
             now, topic, base, changed, ''
         )
@@ -312,6 +321,21 @@
             *self._announcer.send_far(now),
         ]
 
+    def _has_newer_answer(self) -> bool:
+        """Return whether to tell peers at once of an answer of the store.
+
+        If it waited for a regular beacon at every hop, instances far from the
+        watcher would call the store for themselves.
+        """
+        schedule = self._watcher_selection.schedule
+        least_gain = _ANNOUNCED_GAIN * schedule.interval_seconds
+        return any(
+            topic.confirmed_at - announced > least_gain
+            for topic, announced in zip(
+                self._topics, self._announced_answers, strict=True
+            )
+        )
+
     def _compute_seed_pause(self) -> float:
         """Return the pause before unreachable seeds are contacted again.
 
@@ -330,12 +354,15 @@
         effects: list[object] = []
         if self._own.is_leaving:
             return effects
+        selection = self._watcher_selection
         for topic in self._topics:
-            effects += self._watcher_selection.update_duty(now, topic)
-            if (
-                topic.reader.is_calling
-                or not self._watcher_selection.must_call(now, topic)
-            ):
+            effects += selection.update_duty(now, topic)
+            if topic.reader.is_calling:
+                if selection.must_replace_watch(now, topic):
+                    topic.reader.cancel_watch(must_list=False)
+                    effects.append(_effect.CancelCall(topic.name))
+                continue
+            if not selection.must_call(now, topic):
                 continue
             wait = self._compute_watch_seconds(now, topic)
             call = topic.reader.start_call(now, topic.position, wait)
@@ -354,7 +381,7 @@
         effects: list[object] = []
         for topic in self._topics:
             if topic.position.era < era and topic.reader.is_watching:
-                topic.reader.cancel_watch()
+                topic.reader.cancel_watch(must_list=True)
                 effects.append(_effect.CancelCall(topic.name))
         return effects
 
@@ -364,7 +391,7 @@
         A topic that is about to be settled shortens the watch, since the
         answer to it settles the topic.
         """
-        wait = self._settings.wait_seconds
+        wait = self._watcher_selection.compute_watch_seconds(now, topic)
         settle_at = topic.compute_settle_time()
         if settle_at is None or settle_at <= now:
             return wait
--- a/skylarkfold/relay/_messages.py
+++ b/skylarkfold/relay/_messages.py
@@ -25,6 +25,10 @@
         self.left_seconds = left_seconds
 
 
+# Above all ranks: where it isn't known whom the store answered.
+UNKNOWN_RANK = 0xFFFF
+
+
 class Position:
     """The sender's position in a topic.
 
@@ -34,9 +38,17 @@
     :param age_seconds: how long ago the store confirmed the position; None if
         it never did.
     :param retained: how many objects the sender retains from former eras.
+    :param confirmed_by: the fleet rank of the instance that the store
+        confirmed it to; ``UNKNOWN_RANK`` if it isn't known.
     """
 
-    __slots__ = ('age_seconds', 'changed', 'retained', 'revision')
+    __slots__ = (
+        'age_seconds',
+        'changed',
+        'confirmed_by',
+        'retained',
+        'revision',
+    )
 
     def __init__(
         self,
@@ -44,7 +56,9 @@
         changed: revisions.Revision,
         age_seconds: float | None,
         retained: int = 0,
+        confirmed_by: int = UNKNOWN_RANK,
     ) -> None:
+        self.confirmed_by = confirmed_by
         self.retained = retained
         self.revision = revision
         self.changed = changed
--- a/skylarkfold/relay/_peers.py
+++ b/skylarkfold/relay/_peers.py
@@ -34,6 +34,7 @@
         '_resumed_at',
         '_seeds',
         '_settings',
+        '_zone_count',
         'gossip',
         'members',
     )
@@ -51,6 +52,7 @@
         self._neighbours: tuple[str, ...] | None = None
         self._rank = 0
         self._fleet_rank = 0
+        self._zone_count = 1
 
     def set_seeds(self, hosts: Iterable[str]) -> None:
         """Set the hosts that are contacted to find other instances.
@@ -234,9 +236,18 @@
         self.list_neighbours()
         return self._fleet_rank
 
+    def count_zones(self) -> int:
+        """Return how many zones have an instance that may be a watcher.
+
+        :returns: the number of zones, this instance's own included.
+        """
+        self.list_neighbours()
+        return self._zone_count
+
     def _compute_fleet_rank(self) -> int:
         zones = {each.zone for each in self.members.values() if each.may_own}
         zones.add(self._own.zone)
+        self._zone_count = len(zones)
         index = sum(zone < self._own.zone for zone in zones)
         return self._rank * len(zones) + index
 
--- a/skylarkfold/relay/_settings.py
+++ b/skylarkfold/relay/_settings.py
@@ -8,10 +8,11 @@
 
     :param topics: the replicated kinds of objects, each with a position of
         its own; in the same order on all instances.
+    :param change_seconds: the time within which a change must be in force on
+        every instance that reaches the store. The ages at which instances
+        call the store are derived from it.
     :param shared_topics: topics with one set of watchers for the whole fleet
-        instead of one in each zone, which saves calls to the store. Changes
-        of them may be delayed by ``wait_seconds`` and ``substitute_seconds``
-        during a fault.
+        instead of one in each zone, which saves calls to the store.
     :param lasting_topics: topics that operators write; after the store was
         restored, lost objects of them are retained for ``lasting_seconds``.
     :param rewrite_seconds: how long objects that a restored store has lost
@@ -20,9 +21,9 @@
     :param lasting_seconds: the same for ``lasting_topics``: the longest time
         to apply a configuration while the platform recovers from a fault.
     :param watchers: how many instances of a zone watch the store.
-    :param wait_seconds: how long the store may hold a watch. Only the answer
-        confirms that nothing has changed, so this bounds the age of a
-        watcher's state; changes must be in force after 3 s.
+    :param wait_seconds: how long the store may hold a watch; less where
+        ``change_seconds`` needs it, since only an answer confirms that nothing
+        has changed.
     :param call_timeout_seconds: the timeout of a listing. The store answers
         in 4 ms, a slow one in 60 times as long, and a page may have 1 MB.
     :param overdue_seconds: the timeout of a watch beyond the time that the
@@ -73,8 +74,8 @@
     :param forget_seconds: after this time without a beacon an instance is
         dropped from the table.
     :param substitute_seconds: how old the last answer of the store may become
-        beyond ``wait_seconds`` before other instances substitute for the
-        watchers.
+        beyond the interval between answers before instances substitute for the
+        watchers; less where ``change_seconds`` needs it.
     :param serve_bytes_per_second: the budget of an instance for snapshots, so
         that one that is asked by all new instances has bandwidth left for its
         callers; 0 for no limit.
@@ -94,6 +95,7 @@
         'beacon_seconds',
         'busy_seconds',
         'call_timeout_seconds',
+        'change_seconds',
         'duty_seconds',
         'far_seconds',
         'fetch_seconds',
@@ -131,6 +133,7 @@
     def __init__(
         self,
         topics: tuple[str, ...] = (),
+        change_seconds: float = 3.0,
         shared_topics: tuple[str, ...] = (),
         lasting_topics: tuple[str, ...] = (),
         rewrite_seconds: float = 2.5,
@@ -167,6 +170,7 @@
         pause_seconds: float = 0.8,
     ) -> None:
         self.topics = topics
+        self.change_seconds = change_seconds
         self.shared_topics = shared_topics
         self.lasting_topics = lasting_topics
         self.rewrite_seconds = rewrite_seconds
--- a/skylarkfold/relay/_store_reader.py
+++ b/skylarkfold/relay/_store_reader.py
@@ -40,14 +40,18 @@
     :param topic: the topic's name.
     :param settings: the relay's settings.
     :param jitter: draws the pauses after failures.
+    :ivar called_at: when the last call was started.
+    :ivar answered_at: when the last usable answer arrived.
+    :ivar was_held: whether the last call was one that the store might hold.
     """
 
     __slots__ = (
         '_backoff',
-        '_called_at',
+        '_held_until',
         '_is_calling',
         '_is_cancelled',
         '_is_store_stale',
+        '_is_watch',
         '_last_path',
         '_listed_items',
         '_listing_revision',
@@ -55,6 +59,9 @@
         '_next_call_at',
         '_settings',
         '_topic',
+        'answered_at',
+        'called_at',
+        'was_held',
     )
 
     def __init__(
@@ -70,11 +77,16 @@
             settings.most_backoff_seconds,
             jitter,
         )
-        self._called_at = float('-inf')
+        self.answered_at = float('-inf')
+        self.called_at = float('-inf')
+        self.was_held = False
+        # Until when the store may hold the watch under way.
+        self._held_until = float('-inf')
+        self._is_watch = False
         self._is_cancelled = False
         self._is_store_stale = False
         self._is_calling = False
-        self._needs_listing = True
+        self._needs_listing = False
         self._next_call_at = float('-inf')
         self._listed_items: list[_item.Item] = []
         self._listing_revision = revisions.ZERO
@@ -88,11 +100,28 @@
     @property
     def is_watching(self) -> bool:
         """Whether a watch is under way."""
-        return self._is_calling and not self._needs_listing
+        is_valid = self._is_watch and not self._is_cancelled
+        return self._is_calling and is_valid
+
+    @property
+    def failures(self) -> int:
+        """The number of failed calls since the last successful one."""
+        return self._backoff.failures
+
+    def is_held(self, now: float) -> bool:
+        """Return whether the store may still hold the watch under way.
+
+        :param now: the current time.
+        :returns: whether its answer isn't due yet.
+        """
+        return self.is_watching and now < self._held_until
 
-    def cancel_watch(self) -> None:
-        """Ignore the answer to the watch under way, and list next."""
-        self._needs_listing = True
+    def cancel_watch(self, must_list: bool) -> None:
+        """Ignore the answer to the watch under way.
+
+        :param must_list: whether the next call is a listing.
+        """
+        self._needs_listing = self._needs_listing or must_list
         self._is_cancelled = True
 
     def start_call(
@@ -113,9 +142,10 @@
         if now < self._backoff.retry_at:
             return None
         self._is_calling = True
-        self._called_at = now
+        self.called_at = now
         settings = self._settings
-        if self._needs_listing or position == 0:
+        self._is_watch = not self._needs_listing and position != 0
+        if not self._is_watch:
             return _store_call.Call(
                 self._topic,
                 None,
@@ -124,6 +154,9 @@
                 settings.call_timeout_seconds,
                 position.era,
             )
+        # A peer's page may have made further pages of a listing needless.
+        self._reset_listing()
+        self._held_until = now + wait_seconds
         return _store_call.Call(
             self._topic,
             position,
@@ -145,6 +178,7 @@
             listing has further pages.
         """
         self._is_calling = False
+        self.was_held = call.wait_seconds > 0
         is_cancelled, self._is_cancelled = self._is_cancelled, False
         if is_cancelled:
             return None
@@ -176,7 +210,7 @@
             self._backoff.record_failure(now)
             return None
         self._backoff.record_success()
-        waited = now - self._called_at
+        waited = now - self.called_at
         if answer.items:
             self._next_call_at = now + self._settings.gather_seconds
         elif waited < call.wait_seconds / 2:
@@ -210,8 +244,12 @@
             self._backoff.record_success()
         return update
 
-    def record_applied(self) -> None:
-        """Record that the last update was applied."""
+    def record_applied(self, now: float) -> None:
+        """Record that the last update was applied.
+
+        :param now: the current time.
+        """
+        self.answered_at = now
         if self._is_store_stale:
             self._is_store_stale = False
             self._backoff.record_success()
--- a/skylarkfold/relay/_synchronizer.py
+++ b/skylarkfold/relay/_synchronizer.py
@@ -115,7 +115,7 @@
             and topic.is_complete
             and position.age_seconds is not None
         ):
-            topic.confirm(now - position.age_seconds)
+            topic.confirm(now - position.age_seconds, position.confirmed_by)
         is_same_era = position.revision.era == topic.position.era
         if topic.may_lack_retained and is_same_era and position.retained:
             # A fetch from revision 0 gets a snapshot with retained objects.
--- a/skylarkfold/relay/_topic.py
+++ b/skylarkfold/relay/_topic.py
@@ -39,6 +39,7 @@
     :ivar is_complete: whether the topic has been read once.
     :ivar is_shared: whether the whole fleet has one set of watchers for it.
     :ivar confirmed_at: when the store last confirmed the position.
+    :ivar confirmed_by: the fleet rank of the instance that it answered then.
     :ivar confirmed_before_change: the value of ``confirmed_at`` when the last
         change arrived.
     :ivar fetch_host: the peer that a fetch is under way to; empty for none.
@@ -57,6 +58,7 @@
         'call_store_after',
         'confirmed_at',
         'confirmed_before_change',
+        'confirmed_by',
         'era_known_since',
         'fetch_expires_at',
         'fetch_host',
@@ -95,6 +97,7 @@
         self.is_complete = False
         self.is_shared = False
         self.confirmed_at = _NEVER
+        self.confirmed_by = _messages.UNKNOWN_RANK
         self.confirmed_before_change = _NEVER
         self._changed = revisions.ZERO
         self.fetch_host = ''
@@ -149,6 +152,7 @@
             self.changed,
             self.compute_age(now),
             len(self.retained),
+            self.confirmed_by,
         )
 
     def list_items(self) -> list[_item.Item]:
@@ -313,12 +317,15 @@
         events, self._events = self._events, []
         return events
 
-    def confirm(self, at: float) -> None:
+    def confirm(self, at: float, rank: int = _messages.UNKNOWN_RANK) -> None:
         """Record that the store confirmed the position.
 
         :param at: when it did.
+        :param rank: the fleet rank of the instance that it answered.
         """
-        self.confirmed_at = max(self.confirmed_at, at)
+        if at > self.confirmed_at:
+            self.confirmed_at = at
+            self.confirmed_by = rank
 
     def build_page(
         self, now: float, base: revisions.Revision
--- a/skylarkfold/tests/platform/test_settings.py
+++ b/skylarkfold/tests/platform/test_settings.py
@@ -78,6 +78,7 @@
             'cold_over': 1.5,
             'cold_slack': 5,
             'config_apply_ms': 5000,
+            'drain_ms': 4500,
             'unsettled_grace_ms': 15000,
         }
         settings = self.read(fields)
@@ -86,6 +87,7 @@
         self.assertEqual(1.5, settings.warm_up_factor)
         self.assertEqual(5.0, settings.warm_up_slack)
         self.assertEqual(5.0, settings.change_seconds)
+        self.assertEqual(4.5, settings.drain_seconds)
         self.assertEqual(15.0, settings.disturbed_seconds)
 
     def test_features_without_bounds_are_disabled(self):
@@ -96,12 +98,28 @@
         self.assertIsNone(settings.evacuation_seconds)
         self.assertIsNone(settings.warm_up_slack)
         self.assertEqual(3.0, settings.change_seconds)
+        self.assertEqual(3.0, settings.drain_seconds)
         self.assertEqual(12.0, settings.disturbed_seconds)
         forwarder_settings = forwarder.ForwarderSettings()
         forwarder.apply_machine_settings(forwarder_settings, settings)
         self.assertFalse(forwarder_settings.affinity.follows_evacuations)
         self.assertFalse(forwarder_settings.affinity.limits_warm_up)
 
+    def test_the_relay_meets_the_shortest_bound(self):
+        for name in ('config_apply_ms', 'drain_ms', 'evacuate_ms'):
+            fields = build_fields()
+            fields['bounds'] = {
+                'config_apply_ms': 5000,
+                'drain_ms': 5000,
+                'evacuate_ms': 5000,
+                name: 2000,
+            }
+            forwarder_settings = forwarder.ForwarderSettings()
+            forwarder.apply_machine_settings(
+                forwarder_settings, self.read(fields)
+            )
+            self.assertEqual(2.0, forwarder_settings.relay.change_seconds)
+
     def test_pressure_term_enables_shares(self):
         fields = build_fields()
         self.assertEqual((), self.read(fields).terms)
