Relay: an answer that takes long is no newer than its request

Callers could see: the same as with watchers that have lost the store, a change in force after its bound. An instance counted the age of the store's answer from the arrival of a listing's last page, or of a peer's page, though the state in it is that of the first page, or of the moment at which the peer built it: with pages of 1 MB on a link of 5 Mbit/s that is a second and more, for which it didn't call the store itself. Change: a listing confirms its revision as of the request of its first page, a peer's page as of the request less the age that the peer told. Tests: two in tests/relay/test_propagation.py, which failed before (ages of 0.0 in place of 1.6 s and 1.1 in place of 1.4 s); 155 others of the package passed.

--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -235,7 +235,7 @@
             changed = topic.apply_listing(now, update.items, update.revision)
         else:
             changed = topic.apply_changes(update.items, update.revision)
-        topic.confirm(now, self._peers.compute_fleet_rank())
+        topic.confirm(update.confirmed_at, self._peers.compute_fleet_rank())
         effects = self._synchronizer.announce_changes(
             now, topic, base, changed, ''
         )
--- a/skylarkfold/relay/_store_reader.py
+++ b/skylarkfold/relay/_store_reader.py
@@ -16,16 +16,19 @@
     :param revision: the position of the topic once they are applied.
     :param is_listing: whether they are all objects, so that absent ones are
         deleted.
+    :param confirmed_at: when the store had this revision, at the earliest.
     """
 
-    __slots__ = ('is_listing', 'items', 'revision')
+    __slots__ = ('confirmed_at', 'is_listing', 'items', 'revision')
 
     def __init__(
         self,
         items: tuple[_item.Item, ...],
         revision: revisions.Revision,
         is_listing: bool,
+        confirmed_at: float,
     ) -> None:
+        self.confirmed_at = confirmed_at
         self.items = items
         self.revision = revision
         self.is_listing = is_listing
@@ -53,6 +56,7 @@
         '_is_store_stale',
         '_is_watch',
         '_last_path',
+        '_listed_at',
         '_listed_items',
         '_listing_revision',
         '_needs_listing',
@@ -90,6 +94,8 @@
         self._next_call_at = float('-inf')
         self._listed_items: list[_item.Item] = []
         self._listing_revision = revisions.ZERO
+        # When the first page of the listing under way was requested.
+        self._listed_at = float('-inf')
         self._last_path = ''
 
     @property
@@ -217,7 +223,7 @@
             # The store didn't hold the watch; renewing it at once would be a
             # busy loop.
             self._backoff.record_failure(now)
-        return StoreUpdate(answer.items, answer.revision, False)
+        return StoreUpdate(answer.items, answer.revision, False, now)
 
     def _handle_listing_page(
         self, now: float, answer: _store_call.Answer
@@ -226,6 +232,8 @@
             # The watch starts at the revision of the first page, so it finds
             # changes that were made during the listing.
             self._listing_revision = answer.revision
+            # Later pages, and large ones, may take longer than a change may.
+            self._listed_at = self.called_at
         elif answer.revision.era != self._listing_revision.era:
             # The store was restored between two pages: start over.
             self._reset_listing()
@@ -236,7 +244,10 @@
             self._last_path = answer.items[-1].path
             return None
         update = StoreUpdate(
-            tuple(self._listed_items), self._listing_revision, True
+            tuple(self._listed_items),
+            self._listing_revision,
+            True,
+            self._listed_at,
         )
         self._reset_listing()
         self._needs_listing = False
--- a/skylarkfold/relay/_synchronizer.py
+++ b/skylarkfold/relay/_synchronizer.py
@@ -161,8 +161,10 @@
         :returns: the effects to perform.
         """
         topic = self._topics[fetch.topic]
+        fetched_at = now - fetch.timeout_seconds
         if topic.fetch_host == fetch.host:
             topic.fetch_host = ''
+            fetched_at = topic.fetch_expires_at - fetch.timeout_seconds
         if page is None:
             event = _effect.RecordEvent(
                 'fetch-failed', host=fetch.host, topic=topic.name
@@ -177,7 +179,8 @@
             return []
         changed = topic.handle_page(now, page)
         if page.age_seconds is not None:
-            topic.confirm(now - page.age_seconds)
+            # The peer told its age after the request; a large page takes long.
+            topic.confirm(fetched_at - page.age_seconds)
         return self.announce_changes(now, topic, base, changed, fetch.host)
 
     def announce_changes(
--- a/skylarkfold/tests/relay/test_propagation.py
+++ b/skylarkfold/tests/relay/test_propagation.py
@@ -190,6 +190,52 @@
         paths = [each.path for each in behind.list_items('routes')]
         self.assertEqual(['kept'], paths)
 
+    def test_a_page_that_takes_long_confirms_no_later_state(self):
+        topics = fleet_module.TOPICS
+        settings = relay.RelaySettings(topics=topics)
+        ahead = relay.RelayCore('ahead', 'a', 'h-0', settings)
+        behind = relay.RelayCore('behind', 'a', 'h-1', settings)
+        store = _relay_store.FakeStore(topics)
+        store.put('routes', 'main', LARGE)
+        ahead.tick(0.0)
+        called_at = settings.first_seconds
+        for wanted in ahead.tick(called_at):
+            if isinstance(wanted, relay.CallStore):
+                answer = store.list(wanted.call.topic)
+                ahead.handle_answer(called_at, wanted.call, answer)
+        (sent,) = [
+            each
+            for each in ahead.announcer.contact(1.0, ['h-1'])
+            if isinstance(each, relay.SendBeacon)
+        ]
+        effects = behind.handle_beacon(1.0, 'h-0', sent.beacon)
+        fetch, _ = [each for each in effects if isinstance(each, relay.Fetch)]
+        page = ahead.handle_fetch(1.1, 0, fetch.position)
+        behind.handle_page(1.4, fetch, page)
+        age = behind.compute_age(1.4, 'routes')
+        self.assertGreaterEqual(age, 1.4 - called_at)
+
+    def test_a_listing_of_slow_pages_is_as_old_as_its_first_call(self):
+        settings = relay.RelaySettings(topics=('routes',))
+        core = relay.RelayCore('one', 'a', 'h-0', settings)
+        core.tick(0.0)
+        called_at = settings.first_seconds
+        revision = revisions.Revision(5, 1)
+        items = [relay.Item('p', revision, revision, {})]
+        effects = core.tick(called_at)
+        for now, is_truncated in ((0.8, True), (1.6, False)):
+            (call,) = [
+                each.call
+                for each in effects
+                if isinstance(each, relay.CallStore)
+            ]
+            answer = relay.Answer(
+                relay.Status.OK, items, revision, is_truncated
+            )
+            effects = core.handle_answer(now, call, answer)
+        age = core.compute_age(1.6, 'routes')
+        self.assertAlmostEqual(1.6 - called_at, age)
+
     @staticmethod
     def list_all(core, store):
         """Let an instance list all topics."""
