Affinity: an unknown route is gone only if the store says so since

Cause: a flow that this instance didn't open, on a route that it doesn't know, counted as one of a removed route if the routes had been confirmed within the last second. What was confirmed half a second ago says nothing of a route that was added since.

Change: only routes that are complete up to the flow's arrival here tell that its route was removed.

Why this works: the instance that opened the flow knew the route, so it existed by the time the packet came here. Routes that are complete up to that time have it unless it was removed. Ages that peers tell leave out the time of the beacon and don't count for this.

--- a/skylarkfold/affinity/__init__.py
+++ b/skylarkfold/affinity/__init__.py
@@ -9,6 +9,7 @@
 """
 
 from skylarkfold.affinity._core import AffinityCore
+from skylarkfold.affinity._effect import ConfirmRoutes
 from skylarkfold.affinity._effect import Drop
 from skylarkfold.affinity._effect import Forward
 from skylarkfold.affinity._effect import NotifyPeers
@@ -31,6 +32,7 @@
 __all__ = [
     'AffinityCore',
     'AffinitySettings',
+    'ConfirmRoutes',
     'Drop',
     'Evacuations',
     'Forward',
--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -20,6 +20,7 @@
 from skylarkfold.affinity import _packet
 from skylarkfold.affinity import _peer_loads
 from skylarkfold.affinity import _peer_reports
+from skylarkfold.affinity import _pending_verdicts
 from skylarkfold.affinity import _placement
 from skylarkfold.affinity import _refusal
 from skylarkfold.affinity import _route
@@ -129,6 +130,8 @@
         self.note_present = self._upstream_sync.note_present
         self._route_freshness = _route_freshness.RouteFreshness(settings)
         self.note_confirmed = self._route_freshness.record
+        self.note_proved = self._route_freshness.record_proof
+        self._pending_verdicts = _pending_verdicts.PendingVerdicts()
         self._next_active = float('-inf')
         self._next_dormant = float('-inf')
 
@@ -219,9 +222,12 @@
             flow.is_routed = True
             if self.link is not None and not route.is_preferred:
                 self.link.handle_packet(now, flow, packet, route)
-        elif self._is_removed(now, flow):
+        elif self._is_removed(flow):
             self._flows.remove(flow)
-            return self._refuse(packet, Reason.ROUTE_REMOVED)
+            return self._refuse_removed(now, packet, flow)
+        elif self._must_wait(now, flow) and self._pending_verdicts.add(packet):
+            self.tally.count(_tally.HELD, Reason.ROUTE_UNKNOWN)
+            return [_effect.ConfirmRoutes()]
         return self._forward(now, packet, flow)
 
     def tick(self, now: float) -> list[object]:
@@ -240,6 +246,7 @@
         self._peer_loads.expire(now)
         effects = self._flow_opener.retry_unanswered(now, self._routes)
         effects += self._health.tick(now)
+        effects += self._release_pending(now)
         if self.link is not None:
             effects += self._release_link(now, self.link)
         for _ in range(self._held_packets.expire(now)):
@@ -253,7 +260,7 @@
         :returns: the time, ``now`` while any upstream is suspected; None if
             nothing is pending.
         """
-        if self._failure_detector.has_suspects:
+        if self._failure_detector.has_suspects or self._pending_verdicts:
             return now
         deadlines = (
             self._flow_opener.find_due(),
@@ -363,15 +370,43 @@
             return self._drop(Reason.NO_TOKEN)
         return self._hold(now, packet, Reason.TOKEN_UNKNOWN)
 
-    def _is_removed(self, now: float, flow: _flow.Flow) -> bool:
+    def _is_removed(self, flow: _flow.Flow) -> bool:
         """Return whether a flow's route has been removed.
 
         A route that was never known here may be newer than this instance's
-        configuration: the instance that opened the flow knew it.
+        configuration: the instance that opened the flow knew it. Only routes
+        that are complete up to the flow's arrival here tell that it is gone.
         """
         if not self.is_ready:
             return False
-        return flow.is_routed or self._route_freshness.is_fresh(now)
+        is_complete = self._route_freshness.is_complete_since(flow.started_at)
+        return flow.is_routed or is_complete
+
+    def _must_wait(self, now: float, flow: _flow.Flow) -> bool:
+        """Return whether to wait for the store to tell of a flow's route."""
+        if not self.is_ready or not self._route_freshness.has_confirmation:
+            return False
+        if self._flows.get(flow.key) is not flow:
+            # Beyond the limit of tracked flows it has no time of arrival.
+            return False
+        return now - flow.started_at < _pending_verdicts.HELD_SECONDS
+
+    def _release_pending(self, now: float) -> list[object]:
+        """Decide on the packets that wait for the store."""
+        effects: list[object] = []
+        for packet in self._pending_verdicts.take_all():
+            flow = self._flows.get(packet.flow)
+            is_undecided = (
+                flow is not None
+                and packet.address not in self._routes
+                and not self._is_removed(flow)
+                and self._must_wait(now, flow)
+            )
+            if is_undecided and self._pending_verdicts.add(packet):
+                effects = effects or [_effect.ConfirmRoutes()]
+            else:
+                effects += self.handle_packet(now, packet)
+        return effects
 
     def _refuse_route(
         self, now: float, packet: _packet.Packet
@@ -383,6 +418,17 @@
     def _refuse(self, packet: _packet.Packet, reason: str) -> list[object]:
         return self._refusals.refuse(packet, reason, self._routes.version)
 
+    def _refuse_removed(
+        self, now: float, packet: _packet.Packet, flow: _flow.Flow
+    ) -> list[object]:
+        details = {
+            'carried_ms': _flow_reset.to_ms(now - flow.started_at),
+            'was_known': flow.is_routed,
+        }
+        return self._refusals.refuse(
+            packet, Reason.ROUTE_REMOVED, self._routes.version, details
+        )
+
     def _drop(self, reason: str) -> list[object]:
         self.tally.count(_tally.DROPPED, reason)
         return [_effect.Drop(reason)]
--- a/skylarkfold/affinity/_effect.py
+++ b/skylarkfold/affinity/_effect.py
@@ -76,6 +76,12 @@
         self.reason = reason
 
 
+class ConfirmRoutes:
+    """Ask the store now whether the known routes are complete."""
+
+    __slots__ = ()
+
+
 class QueryPeers:
     """Ask the peers of this zone when they last heard an upstream.
 
--- a/skylarkfold/affinity/_route_freshness.py
+++ b/skylarkfold/affinity/_route_freshness.py
@@ -1,4 +1,4 @@
-"""Whether the known routes are known to be up to date."""
+"""Up to when the known routes are known to be complete."""
 
 from __future__ import annotations
 
@@ -8,25 +8,34 @@
 class RouteFreshness:
     """Tracks when the routes were last known to be up to date.
 
-    A route that is not known here may be too new for this instance: only fresh
-    knowledge can tell that it does not exist.
+    A route that is not known here may be too new for this instance. That it
+    does not exist can only be told of a time up to which the routes are known
+    to be complete.
 
     :param settings: how long a confirmation counts.
     """
 
-    __slots__ = ('_confirmed_at', '_settings')
+    __slots__ = ('_confirmed_at', '_proved_at', '_settings')
 
     def __init__(self, settings: _settings.AffinitySettings) -> None:
         self._settings = settings
         self._confirmed_at = float('-inf')
+        self._proved_at = float('-inf')
 
     def record(self, now: float) -> None:
         """Record that the routes were up to date at some time.
 
-        :param now: the time.
+        :param now: the time, as others tell it: it may be somewhat late.
         """
         self._confirmed_at = max(self._confirmed_at, now)
 
+    def record_proof(self, now: float) -> None:
+        """Record that the store has answered this instance itself.
+
+        :param now: a time up to which the known routes are complete.
+        """
+        self._proved_at = max(self._proved_at, now)
+
     def is_fresh(self, now: float) -> bool:
         """Return whether the routes were confirmed recently.
 
@@ -34,3 +43,16 @@
         :returns: whether they were.
         """
         return now - self._confirmed_at <= self._settings.verdict_seconds
+
+    @property
+    def has_confirmation(self) -> bool:
+        """Whether the routes were confirmed at any time."""
+        return self._confirmed_at > float('-inf')
+
+    def is_complete_since(self, at: float) -> bool:
+        """Return whether a route that existed at some time would be known.
+
+        :param at: the time.
+        :returns: whether it would, unless it was removed since.
+        """
+        return self._proved_at >= at
--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -124,6 +124,7 @@
             affinity.Forward: self._forward,
             affinity.Reset: self._reset,
             affinity.Drop: _ignore,
+            affinity.ConfirmRoutes: self._store_sync.confirm_routes,
             affinity.QueryPeers: self._peer_message_batch.add_query,
             affinity.Probe: self._probe,
             affinity.RecordDecision: self._reporter.record,
--- a/skylarkfold/forwarder/_store_sync.py
+++ b/skylarkfold/forwarder/_store_sync.py
@@ -80,6 +80,15 @@
         """
         self._store.cancel(effect.topic)
 
+    def confirm_routes(self, _wanted: affinity.ConfirmRoutes) -> None:
+        """Have the store confirm the routes now.
+
+        :param _wanted: has no fields.
+        """
+        now = self._loop.now()
+        topic = self._platform.routes_topic
+        self._perform(self._relay.request_proof(now, topic))
+
     def close(self) -> None:
         """Close all connections to the store."""
         self._store.close()
@@ -95,6 +104,7 @@
         if answer.status != relay.Status.ABANDONED:
             self._log_store_status(now, call.topic, answer.status)
         self._perform(self._relay.handle_answer(now, call, answer))
+        self.report_age(now)
 
     def _log_store_status(self, now: float, topic: str, status: str) -> None:
         # A store that has discarded the requested history is available, too.
@@ -141,6 +151,8 @@
         routes_at = self._find_confirmed_at(now, self._platform.routes_topic)
         if routes_at is not None:
             self._core.note_confirmed(routes_at)
+            routes_topic = self._platform.routes_topic
+            self._core.note_proved(self._relay.get_proved_at(routes_topic))
         upstreams_at = self._find_confirmed_at(
             now, self._platform.upstreams_topic
         )
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -170,6 +170,34 @@
         """
         return self._by_name[topic].compute_age(now)
 
+    def get_proved_at(self, topic: str) -> float:
+        """Return up to when an own call to the store has shown all changes.
+
+        :param topic: the topic.
+        :returns: the time; negative infinity before the first answer.
+        """
+        return self._by_name[topic].proved_at
+
+    def request_proof(self, now: float, topic: str) -> list[object]:
+        """Call the store at once, to know all changes up to now.
+
+        :param now: the current time.
+        :param topic: the topic.
+        :returns: the effects to perform.
+        """
+        wanted = self._by_name[topic]
+        if wanted.is_proof_wanted(now):
+            return []
+        wanted.proof_wanted_at = now
+        age = wanted.compute_age(now)
+        event = _effect.RecordEvent(
+            'proof',
+            topic=topic,
+            position=str(wanted.position),
+            age_ms=-1 if age is None else int(age * 1000),
+        )
+        return [event, *self._call_store(now)]
+
     def tick(self, now: float) -> list[object]:
         """Send the beacons and start the calls that are due.
 
@@ -235,6 +263,7 @@
             changed = topic.apply_listing(now, update.items, update.revision)
         else:
             changed = topic.apply_changes(update.items, update.revision)
+        topic.proved_at = max(topic.proved_at, update.proved_at)
         topic.confirm(update.confirmed_at, self._peers.compute_fleet_rank())
         effects = self._synchronizer.announce_changes(
             now, topic, base, changed, ''
@@ -357,14 +386,20 @@
         selection = self._watcher_selection
         for topic in self._topics:
             effects += selection.update_duty(now, topic)
+            needs_proof = topic.must_prove(now)
             if topic.reader.is_calling:
-                if selection.must_replace_watch(now, topic):
+                is_held = topic.reader.is_held(now)
+                if (needs_proof and is_held) or selection.must_replace_watch(
+                    now, topic
+                ):
                     topic.reader.cancel_watch(must_list=False)
                     effects.append(_effect.CancelCall(topic.name))
                 continue
-            if not selection.must_call(now, topic):
+            if not needs_proof and not selection.must_call(now, topic):
                 continue
-            wait = self._compute_watch_seconds(now, topic)
+            wait = 0.0
+            if not needs_proof:
+                wait = self._compute_watch_seconds(now, topic)
             call = topic.reader.start_call(now, topic.position, wait)
             if call is not None:
                 effects.append(_effect.CallStore(call))
--- a/skylarkfold/relay/_store_reader.py
+++ b/skylarkfold/relay/_store_reader.py
@@ -16,10 +16,17 @@
     :param revision: the position of the topic once they are applied.
     :param is_listing: whether they are all objects, so that absent ones are
         deleted.
-    :param confirmed_at: when the store had this revision, at the earliest.
+    :param confirmed_at: when the store had this revision.
+    :param proved_at: the same, at the earliest.
     """
 
-    __slots__ = ('confirmed_at', 'is_listing', 'items', 'revision')
+    __slots__ = (
+        'confirmed_at',
+        'is_listing',
+        'items',
+        'proved_at',
+        'revision',
+    )
 
     def __init__(
         self,
@@ -27,7 +34,9 @@
         revision: revisions.Revision,
         is_listing: bool,
         confirmed_at: float,
+        proved_at: float,
     ) -> None:
+        self.proved_at = proved_at
         self.confirmed_at = confirmed_at
         self.items = items
         self.revision = revision
@@ -223,7 +232,12 @@
             # The store didn't hold the watch; renewing it at once would be a
             # busy loop.
             self._backoff.record_failure(now)
-        return StoreUpdate(answer.items, answer.revision, False, now)
+        proved_at = self.called_at
+        if not answer.items and waited >= call.wait_seconds:
+            proved_at += call.wait_seconds
+        return StoreUpdate(
+            answer.items, answer.revision, False, now, proved_at
+        )
 
     def _handle_listing_page(
         self, now: float, answer: _store_call.Answer
@@ -248,6 +262,7 @@
             self._listing_revision,
             True,
             self._listed_at,
+            self._listed_at,
         )
         self._reset_listing()
         self._needs_listing = False
--- a/skylarkfold/relay/_topic.py
+++ b/skylarkfold/relay/_topic.py
@@ -15,6 +15,9 @@
 from skylarkfold import revision as revisions
 
 _NEVER = float('-inf')
+# How long an answer of the store is worth a call of its own: packets that wait
+# for it are held for so long.
+_PROOF_SECONDS = 0.4
 # Paths of objects in one log line.
 _MAXIMUM_LOGGED_NAMES = 20
 # Peers are told at most this for how long an era has been known.
@@ -42,6 +45,9 @@
     :ivar confirmed_by: the fleet rank of the instance that it answered then.
     :ivar confirmed_before_change: the value of ``confirmed_at`` when the last
         change arrived.
+    :ivar proved_at: a time up to which an answer of the store to this instance
+        has shown all changes.
+    :ivar proof_wanted_at: since when such an answer is needed.
     :ivar fetch_host: the peer that a fetch is under way to; empty for none.
     :ivar fetch_expires_at: when that fetch times out.
     :ivar call_store_after: until when the store isn't asked for the first
@@ -67,6 +73,8 @@
         'may_lack_retained',
         'name',
         'number',
+        'proof_wanted_at',
+        'proved_at',
         'reader',
         'retained',
     )
@@ -98,6 +106,8 @@
         self.is_shared = False
         self.confirmed_at = _NEVER
         self.confirmed_by = _messages.UNKNOWN_RANK
+        self.proved_at = _NEVER
+        self.proof_wanted_at = _NEVER
         self.confirmed_before_change = _NEVER
         self._changed = revisions.ZERO
         self.fetch_host = ''
@@ -131,6 +141,25 @@
             return None
         return max(0.0, now - self.confirmed_at)
 
+    def is_proof_wanted(self, now: float) -> bool:
+        """Return whether an answer of the store is waited for.
+
+        :param now: the current time.
+        :returns: whether it was asked for lately and has not come since.
+        """
+        is_open = self.proof_wanted_at > self.proved_at
+        return is_open and now - self.proof_wanted_at < _PROOF_SECONDS
+
+    def must_prove(self, now: float) -> bool:
+        """Return whether to call the store for an answer that is waited for.
+
+        :param now: the current time.
+        :returns: whether it is wanted, and the last call isn't too recent.
+        """
+        pause = now - self.reader.called_at
+        is_due = pause >= self._settings.gather_seconds
+        return self.is_complete and is_due and self.is_proof_wanted(now)
+
     def compute_lag(self, now: float) -> float | None:
         """Return an upper bound for how long ago the last change was written.
 
--- a/skylarkfold/tests/affinity/test_token.py
+++ b/skylarkfold/tests/affinity/test_token.py
@@ -100,6 +100,7 @@
         self.assertEqual([upstream.name], samples.list_forwards(effects))
         # Its removal is now confirmed.
         core.note_confirmed(0.2)
+        core.note_proved(0.2)
         again = samples.build_packet(1, upstream.token, 111, length=10)
         effects = core.handle_packet(0.3, again)
         self.assertEqual([packet.flow], samples.list_resets(effects))
