--- a/skylarkfold/forwarder/_topics.py
+++ b/skylarkfold/forwarder/_topics.py
@@ -40,7 +40,7 @@
 
     @property
     def shared_topics(self) -> tuple[str, ...]:
-        """The topics whose changes may arrive later during a fault."""
+        """The topics with one set of watchers for the whole fleet."""
         topic = self._platform.evacuations_topic
         return (topic,) if topic in self._appliers else ()
 
