Log how old the known routes are at a start and at a reset for want of a route

The lines of a start and of a reset did not tell the age of what the instance knew, which is what decides whether a reset is right: `ready` had the version alone, `reset no-route` and `reset route-removed` said nothing of it.

`ready` tells `routes_age_ms` and `upstreams_age_ms` (who told them is in the lines `known` before it), both resets tell `confirmed_ms` and `proved_ms`.

--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -413,7 +413,12 @@
     ) -> list[object]:
         if not self._route_freshness.is_fresh(now):
             return self._drop(Reason.ROUTE_UNKNOWN)
-        return self._refuse(packet, Reason.NO_ROUTE)
+        return self._refusals.refuse(
+            packet,
+            Reason.NO_ROUTE,
+            self._routes.version,
+            self._route_freshness.describe(now),
+        )
 
     def _refuse(self, packet: _packet.Packet, reason: str) -> list[object]:
         return self._refusals.refuse(packet, reason, self._routes.version)
@@ -424,6 +429,7 @@
         details = {
             'carried_ms': _flow_reset.to_ms(now - flow.started_at),
             'was_known': flow.is_routed,
+            **self._route_freshness.describe(now),
         }
         return self._refusals.refuse(
             packet, Reason.ROUTE_REMOVED, self._routes.version, details
--- a/skylarkfold/affinity/_route_freshness.py
+++ b/skylarkfold/affinity/_route_freshness.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from skylarkfold.affinity import _flow_reset
 from skylarkfold.affinity import _settings
 
+_NEVER = float('-inf')
+
 
 class RouteFreshness:
     """Tracks when the routes were last known to be up to date.
@@ -19,8 +22,8 @@
 
     def __init__(self, settings: _settings.AffinitySettings) -> None:
         self._settings = settings
-        self._confirmed_at = float('-inf')
-        self._proved_at = float('-inf')
+        self._confirmed_at = _NEVER
+        self._proved_at = _NEVER
 
     def record(self, now: float) -> None:
         """Record that the routes were up to date at some time.
@@ -47,7 +50,7 @@
     @property
     def has_confirmation(self) -> bool:
         """Whether the routes were confirmed at any time."""
-        return self._confirmed_at > float('-inf')
+        return self._confirmed_at > _NEVER
 
     def is_complete_since(self, at: float) -> bool:
         """Return whether a route that existed at some time would be known.
@@ -56,3 +59,14 @@
         :returns: whether it would, unless it was removed since.
         """
         return self._proved_at >= at
+
+    def describe(self, now: float) -> dict[str, object]:
+        """Return the ages of both, for the log lines of decisions.
+
+        :param now: the time.
+        :returns: milliseconds by name; -1 for never.
+        """
+        return {
+            'confirmed_ms': _flow_reset.to_ms(now - self._confirmed_at),
+            'proved_ms': _flow_reset.to_ms(now - self._proved_at),
+        }
--- a/skylarkfold/forwarder/_store_sync.py
+++ b/skylarkfold/forwarder/_store_sync.py
@@ -129,7 +129,20 @@
         self._apply(effect.topic)
         if self._core.is_ready and not self._was_ready:
             self._was_ready = True
-            self._reporter.log('ready', version=self._core.version)
+            self._log_ready()
+
+    def _log_ready(self) -> None:
+        self._reporter.log(
+            'ready',
+            version=self._core.version,
+            routes_age_ms=self._compute_age_ms(self._platform.routes_topic),
+            upstreams_age_ms=self._compute_age_ms(
+                self._platform.upstreams_topic
+            ),
+        )
+
+    def _compute_age_ms(self, topic: str) -> int:
+        return _to_ms(self._relay.compute_age(self._loop.now(), topic))
 
     def apply_all(self) -> None:
         """Apply all topics again."""
--- a/skylarkfold/tests/forwarder/test_new_route.py
+++ b/skylarkfold/tests/forwarder/test_new_route.py
@@ -10,6 +10,7 @@
 
 import testtools
 
+from skylarkfold import affinity
 from skylarkfold.measure import _relay_fleet as fleet_module
 from skylarkfold.tests.affinity import samples
 from skylarkfold.tests.forwarder import instance as instance_module
@@ -89,6 +90,31 @@
             self.assertEqual([packet.data], started.list_forwarded(), offset)
             self.fleet.cut = lambda one, other: False
 
+    def test_ready_line_tells_the_age_of_what_is_known(self):
+        """Guards against a reset whose cause the log can't tell."""
+        started = self.restart()
+        [fields] = [each for name, each in started.lines if name == 'ready']
+        self.assertEqual(self.version, fields['version'])
+        for name in ('routes_age_ms', 'upstreams_age_ms'):
+            self.assertGreaterEqual(fields[name], 0)
+
+    def test_reset_line_tells_the_age_of_what_is_known(self):
+        """Guards against a reset whose cause the log can't tell."""
+        started = self.restart()
+        started.receive(self.build_packet())
+        started.run(HELD_SECONDS)
+        [line] = [
+            each
+            for _, each in started.effects
+            if isinstance(each, affinity.RecordDecision)
+            and each.kind == 'reset'
+        ]
+        details = line.details
+        self.assertEqual(affinity.Reason.ROUTE_REMOVED, line.reason)
+        self.assertLessEqual(0, details['proved_ms'])
+        self.assertLessEqual(details['proved_ms'], details['carried_ms'])
+        self.assertGreaterEqual(details['confirmed_ms'], 0)
+
     def test_an_unheard_removal_ends_open_flows_in_time(self):
         """Guards against flows that outlive their route at an instance."""
         for offset in OFFSETS:
