Affinity: a packet no longer overtakes held ones of its flow

What callers saw: packets of one flow could reach its upstream in another order than they were sent in, which costs a repetition 0.2 s later.

Cause: packets that wait for the store were released at the next tick, while a packet that came meanwhile was decided on at once: after the route had become known, after the wait had ended, and where no more than the 512 held ones fit. Besides, a flow with several held packets whose route was gone was ended by the first of them; the next one opened it anew and asked the store again.

Change: packets are held by flow. One that comes is decided on after the held ones of its flow; those also go first where there is no room for it. New routes release them at once. One reset answers all packets of a flow.

Tests: four in affinity/test_unknown_routes; all four failed before. Packets of the samples carry their sequence number now: until then all packets of a flow had the same bytes, so that the test of their order could not fail. The test of an added route takes the packet from set_routes, which releases it now, and from the tick together: it is forwarded once, as before.

--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -173,7 +173,8 @@
             _effect.RecordDecision('routes', 'in-force', details=details)
         ]
         effects += self._upstream_sync.set_services(now, routes.services)
-        return effects + self._release_held(now)
+        effects += self._release_held(now)
+        return effects + self._release_pending(now)
 
     def set_upstreams(
         self, now: float, present: Iterable[_upstream.Upstream]
@@ -210,25 +211,10 @@
         """
         if packet.is_first:
             return self._handle_first_packet(now, packet)
-        flow = self._flows.get(packet.flow)
-        if flow is None or not _binding.is_bound(flow, packet):
-            flow = self._flow_binder.bind(now, packet, flow, self._routes)
-            if flow is None:
-                return self._handle_unknown_token(now, packet)
-        elif not flow.is_open:
-            self._health.record_open(now, flow, packet)
-        route = self._routes.get(packet.address)
-        if route is not None:
-            flow.is_routed = True
-            if self.link is not None and not route.is_preferred:
-                self.link.handle_packet(now, flow, packet, route)
-        elif self._is_removed(flow):
-            self._flows.remove(flow)
-            return self._refuse_removed(now, packet, flow)
-        elif self._must_wait(now, flow) and self._pending_verdicts.add(packet):
-            self.tally.count(_tally.HELD, Reason.ROUTE_UNKNOWN)
-            return [_effect.ConfirmRoutes()]
-        return self._forward(now, packet, flow)
+        if packet.flow in self._pending_verdicts:
+            effects = self._release_pending_flow(now, packet.flow)
+            return effects + self._handle_later_packet(now, packet)
+        return self._handle_later_packet(now, packet)
 
     def tick(self, now: float) -> list[object]:
         """Run what is due: timeouts, retries, probes and expiry.
@@ -346,6 +332,41 @@
             now, flow, packet, self._routes
         )
 
+    def _handle_later_packet(
+        self, now: float, packet: _packet.Packet
+    ) -> list[object]:
+        flow = self._flows.get(packet.flow)
+        if flow is None or not _binding.is_bound(flow, packet):
+            flow = self._flow_binder.bind(now, packet, flow, self._routes)
+            if flow is None:
+                return self._handle_unknown_token(now, packet)
+        elif not flow.is_open:
+            self._health.record_open(now, flow, packet)
+        route = self._routes.get(packet.address)
+        if route is None:
+            return self._handle_unrouted(now, packet, flow)
+        flow.is_routed = True
+        if self.link is not None and not route.is_preferred:
+            self.link.handle_packet(now, flow, packet, route)
+        return self._forward(now, packet, flow)
+
+    def _handle_unrouted(
+        self, now: float, packet: _packet.Packet, flow: _flow.Flow
+    ) -> list[object]:
+        """Decide on a packet of an open flow whose route is not known."""
+        if self._is_removed(flow):
+            return self._end_removed(now, packet, flow)
+        if not self._must_wait(now, flow):
+            return self._forward(now, packet, flow)
+        if self._pending_verdicts.add(packet):
+            self.tally.count(_tally.HELD, Reason.ROUTE_UNKNOWN)
+            return [_effect.ConfirmRoutes()]
+        # Packets of this flow that are held were sent before this one.
+        effects: list[object] = []
+        for each in (*self._pending_verdicts.take(packet.flow), packet):
+            effects += self._forward(now, each, flow)
+        return effects
+
     def _forward(
         self, now: float, packet: _packet.Packet, flow: _flow.Flow
     ) -> list[object]:
@@ -394,18 +415,26 @@
     def _release_pending(self, now: float) -> list[object]:
         """Decide on the packets that wait for the store."""
         effects: list[object] = []
-        for packet in self._pending_verdicts.take_all():
-            flow = self._flows.get(packet.flow)
-            is_undecided = (
-                flow is not None
-                and packet.address not in self._routes
-                and not self._is_removed(flow)
-                and self._must_wait(now, flow)
-            )
-            if is_undecided and self._pending_verdicts.add(packet):
-                effects = effects or [_effect.ConfirmRoutes()]
-            else:
-                effects += self.handle_packet(now, packet)
+        for key in self._pending_verdicts.list_flows():
+            effects += self._release_pending_flow(now, key)
+        if self._pending_verdicts:
+            effects.append(_effect.ConfirmRoutes())
+        return effects
+
+    def _release_pending_flow(self, now: float, key: bytes) -> list[object]:
+        """Decide on the packets of a flow that wait for the store."""
+        flow = self._flows.get(key)
+        is_unrouted = _packet.get_address(key) not in self._routes
+        if flow is not None and is_unrouted:
+            if self._is_removed(flow):
+                # One reset answers all of them.
+                packet = self._pending_verdicts.take(key)[-1]
+                return self._end_removed(now, packet, flow)
+            if self._must_wait(now, flow):
+                return []
+        effects: list[object] = []
+        for packet in self._pending_verdicts.take(key):
+            effects += self._handle_later_packet(now, packet)
         return effects
 
     def _refuse_route(
@@ -423,9 +452,11 @@
     def _refuse(self, packet: _packet.Packet, reason: str) -> list[object]:
         return self._refusals.refuse(packet, reason, self._routes.version)
 
-    def _refuse_removed(
+    def _end_removed(
         self, now: float, packet: _packet.Packet, flow: _flow.Flow
     ) -> list[object]:
+        """End a flow whose route has been removed."""
+        self._flows.remove(flow)
         details = {
             'carried_ms': _flow_reset.to_ms(now - flow.started_at),
             'was_known': flow.is_routed,
--- a/skylarkfold/affinity/_pending_verdicts.py
+++ b/skylarkfold/affinity/_pending_verdicts.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import collections
-
 from skylarkfold.affinity import _packet
 
 # The store answers in 4 ms, a slow one in 60 times as long; callers repeat a
@@ -14,15 +12,19 @@
 
 
 class PendingVerdicts:
-    """A bounded queue of packets, in order of arrival."""
+    """A bounded set of packets, in order of arrival within each flow."""
 
-    __slots__ = ('_packets',)
+    __slots__ = ('_by_flow', '_count')
 
     def __init__(self) -> None:
-        self._packets: collections.deque[_packet.Packet] = collections.deque()
+        self._by_flow: dict[bytes, list[_packet.Packet]] = {}
+        self._count = 0
 
     def __len__(self) -> int:
-        return len(self._packets)
+        return self._count
+
+    def __contains__(self, flow: bytes) -> bool:
+        return flow in self._by_flow
 
     def add(self, packet: _packet.Packet) -> bool:
         """Hold a packet.
@@ -30,15 +32,25 @@
         :param packet: the packet.
         :returns: whether there was room for it.
         """
-        if len(self._packets) >= _MAXIMUM_PACKETS:
+        if self._count >= _MAXIMUM_PACKETS:
             return False
-        self._packets.append(packet)
+        self._by_flow.setdefault(packet.flow, []).append(packet)
+        self._count += 1
         return True
 
-    def take_all(self) -> list[_packet.Packet]:
-        """Remove all packets.
+    def take(self, flow: bytes) -> list[_packet.Packet]:
+        """Remove the packets of a flow.
+
+        :param flow: the packed flow.
+        :returns: its packets, in order; none if none is held.
+        """
+        packets = self._by_flow.pop(flow, [])
+        self._count -= len(packets)
+        return packets
+
+    def list_flows(self) -> list[bytes]:
+        """Return the flows that have packets held.
 
-        :returns: the packets, in order.
+        :returns: the packed flows.
         """
-        held, self._packets = self._packets, collections.deque()
-        return list(held)
+        return list(self._by_flow)
--- a/skylarkfold/tests/affinity/samples.py
+++ b/skylarkfold/tests/affinity/samples.py
@@ -2,6 +2,10 @@
 
 from skylarkfold import affinity
 
+# What the data of a packet begins with, before its flow.
+_WORDS = (b'first', b'later')
+_FLOW_BYTES = 12
+
 ADDRESS = affinity.pack_address('198.51.100.1', 443)
 OTHER_ADDRESS = affinity.pack_address('198.51.100.2', 443)
 SERVICE = 'archebu'
@@ -35,7 +39,9 @@
 def build_first(port, copy=0, address=ADDRESS):
     """Build the first packet of a flow."""
     flow = build_flow(port, address)
-    return affinity.Packet(flow, 0, 100, copy, 0, True, False, b'first' + flow)
+    return affinity.Packet(
+        flow, 0, 100, copy, 0, True, False, _WORDS[0] + flow
+    )
 
 
 def build_packet(port, token, sequence=101, acknowledged=501, length=0):
@@ -49,7 +55,7 @@
         length,
         False,
         False,
-        b'later' + flow,
+        _WORDS[1] + flow + sequence.to_bytes(4, 'big'),
     )
 
 
@@ -62,6 +68,12 @@
     return core
 
 
+def get_flow(data):
+    """Return the key of the flow of a packet's data."""
+    begin = len(_WORDS[0])
+    return data[begin : begin + _FLOW_BYTES]
+
+
 def list_forwards(effects):
     """List the upstreams that packets are sent to."""
     return [
--- a/skylarkfold/tests/affinity/test_state_machine.py
+++ b/skylarkfold/tests/affinity/test_state_machine.py
@@ -151,7 +151,7 @@
         process = self.find_at(wanted.upstream.address)
         if process is None or process.upstream.name != wanted.upstream.name:
             return
-        flow = self.flows[wanted.data[5:]]
+        flow = self.flows[samples.get_flow(wanted.data)]
         if wanted.data.startswith(b'first'):
             assert process.upstream.service == samples.SERVICE
             if flow.process is None:
--- a/skylarkfold/tests/affinity/test_unknown_routes.py
+++ b/skylarkfold/tests/affinity/test_unknown_routes.py
@@ -41,8 +41,8 @@
         effects = self.handle(0.5)
         self.assertEqual([], samples.list_resets(effects))
         self.assertEqual(1, len(self.list_asked(effects)))
-        self.core.set_routes(0.55, samples.build_routes(4))
-        effects = self.core.tick(0.56)
+        effects = self.core.set_routes(0.55, samples.build_routes(4))
+        effects += self.core.tick(0.56)
         self.assertEqual([], samples.list_resets(effects))
         self.assertEqual([self.upstream.name], samples.list_forwards(effects))
 
@@ -67,10 +67,9 @@
         self.assertEqual([], samples.list_forwards(effects))
         self.assertEqual(1, len(self.list_asked(effects)))
         effects = self.core.tick(0.5 + HELD_SECONDS)
-        forwarded = [
-            each.data for each in effects if isinstance(each, affinity.Forward)
-        ]
-        self.assertEqual([self.packet.data, later.data], forwarded)
+        self.assertEqual(
+            [self.packet.data, later.data], self.list_data(effects)
+        )
         # The store has not answered: the flow goes on.
         effects = self.handle(1.5, later)
         self.assertEqual([self.upstream.name], samples.list_forwards(effects))
@@ -99,3 +98,57 @@
             effects = self.handle(0.5, packet)
             held += len(self.list_asked(effects))
         self.assertEqual(512, held)
+
+    def list_data(self, effects):
+        return [
+            each.data for each in effects if isinstance(each, affinity.Forward)
+        ]
+
+    def build_later(self, sequence):
+        return samples.build_packet(
+            1, self.upstream.token, sequence, length=10
+        )
+
+    def test_a_packet_does_not_overtake_held_ones_of_its_flow(self):
+        """Guards against reordering where the route becomes known."""
+        later = self.build_later(111)
+        self.handle(0.5)
+        effects = self.core.set_routes(0.55, samples.build_routes(4))
+        effects += self.handle(0.551, later)
+        effects += self.core.tick(0.56)
+        self.assertEqual(
+            [self.packet.data, later.data], self.list_data(effects)
+        )
+
+    def test_a_packet_that_comes_late_does_not_overtake_held_ones(self):
+        """Guards against reordering where the wait has just ended."""
+        later = self.build_later(111)
+        self.handle(0.5)
+        effects = self.handle(0.5 + HELD_SECONDS, later)
+        effects += self.core.tick(0.51 + HELD_SECONDS)
+        self.assertEqual(
+            [self.packet.data, later.data], self.list_data(effects)
+        )
+
+    def test_a_packet_beyond_the_limit_does_not_overtake_held_ones(self):
+        """Guards against reordering where no more packets can be held."""
+        self.handle(0.5)
+        for port in range(2, 1000):
+            self.handle(
+                0.5,
+                samples.build_packet(port, self.upstream.token, length=10),
+            )
+        later = self.build_later(111)
+        effects = self.handle(0.51, later)
+        self.assertEqual(
+            [self.packet.data, later.data], self.list_data(effects)
+        )
+
+    def test_a_removed_route_resets_a_flow_of_held_packets_once(self):
+        """Guards against further calls and resets for one flow."""
+        self.handle(0.5)
+        self.handle(0.51, self.build_later(111))
+        self.core.note_proved(0.5)
+        effects = self.core.tick(0.52) + self.core.tick(0.53)
+        self.assertEqual([self.packet.flow], samples.list_resets(effects))
+        self.assertEqual([], self.list_asked(effects))
