Relay: what waited during a pause confirms nothing since

What callers would see: for up to a second after an instance wakes from a pause it may refuse first packets on a route that was added meanwhile, and it leaves calls to the store to others, as if its routes had just been confirmed.

Cause: an age in a beacon counts from the moment at which the beacon is read. A pause was detected by the tick alone, so that beacons and answers of the store that waited in the sockets confirmed the routes for the moment of their reading, wrong by the whole pause, before the tick and, where more waited, after it.

Change: a pause is detected by whatever happens first. Ages of peers don't count for a second after it, and an answer to a call from before the pause counts from its call. The instance has called the store at once after a pause before, too.

--- a/skylarkfold/measure/_relay_fleet.py
+++ b/skylarkfold/measure/_relay_fleet.py
@@ -17,6 +17,8 @@
 DELAY_SECONDS = 0.001
 # As often as the daemon looks at what is due.
 TICK_SECONDS = 0.01
+# An instance that wakes has read what waits in its sockets after this time.
+SOCKET_SECONDS = 0.05
 
 
 class Fleet:
@@ -194,10 +196,15 @@
         self.sent[name] += len(data)
 
         def arrive() -> None:
-            core = self.cores.get(host)
-            if core is None or self._is_cut(name, host):
+            if host in self.cores and not self._is_cut(name, host):
+                take(self.cores[host])
+
+        def take(core: relay.RelayCore) -> None:
+            if self.cores.get(host) is not core:
                 return
             if host in self.paused:
+                # It waits in the socket.
+                self._plan(SOCKET_SECONDS, lambda: take(core))
                 return
             self._decide(host, _take_beacon, core, self.now, name, data)
 
@@ -255,6 +262,10 @@
         def answer(found: relay.Answer) -> None:
             if self.cores.get(name) is not core:
                 return
+            if name in self.paused:
+                # It waits in the socket.
+                self._plan(SOCKET_SECONDS, lambda: answer(found))
+                return
             if self._calls.get((name, call.topic)) is call:
                 del self._calls[(name, call.topic)]
                 self._decide(name, core.handle_answer, self.now, call, found)
@@ -262,9 +273,6 @@
         def look() -> None:
             if self._calls.get((name, call.topic)) is not call:
                 return
-            if name in self.paused:
-                self._plan(0.05, look)
-                return
             if name in self.turned_away:
                 answer(relay.Answer(self.turned_away[name]))
                 return
--- a/skylarkfold/relay/_core.py
+++ b/skylarkfold/relay/_core.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from skylarkfold import backoff
 from skylarkfold.relay import _announcer
 from skylarkfold.relay import _effect
@@ -87,7 +89,10 @@
         )
         # The store's last answer about each topic that beacons have told of.
         self._announced_answers = [_NEVER] * len(self._topics)
-        self._ticked_at = _NEVER
+        # When this instance last did anything, and when it last woke from a
+        # pause of its process.
+        self._active_at = _NEVER
+        self._resumed_at = _NEVER
         self._next_near_beacon = _NEVER
         self._next_far_beacon = _NEVER
         self._next_seed_contact = _NEVER
@@ -205,12 +210,9 @@
             beacons.
         :returns: the effects to perform.
         """
-        effects: list[object] = []
         if self._watcher_selection.started_at is None:
             self._watcher_selection.started_at = now
-        elif now - self._ticked_at > self._settings.pause_seconds:
-            effects += self._resume(now)
-        self._ticked_at = now
+        effects = self._record_activity(now)
         if self._announcer.callers.is_urgent or self._has_newer_answer():
             self._announcer.callers.is_urgent = False
             self._next_near_beacon = self._next_far_beacon = now
@@ -246,17 +248,16 @@
         :param answer: the answer, or how the call failed.
         :returns: the effects to perform.
         """
+        effects = self._record_activity(now)
         topic = self._by_name[call.topic]
         update = topic.reader.handle_answer(now, call, answer)
         self._watcher_selection.handle_answer(topic, call, update)
         if update is None:
-            return self._call_store(now)
+            return effects + self._call_store(now)
         if update.revision < topic.position:
             # A peer has already sent later changes, or the store is stale.
-            return [
-                *_record_stale_store(now, topic, update),
-                *self._call_store(now),
-            ]
+            effects += _record_stale_store(now, topic, update)
+            return effects + self._call_store(now)
         topic.reader.record_applied(now)
         base = topic.position
         if update.is_listing:
@@ -264,8 +265,12 @@
         else:
             changed = topic.apply_changes(update.items, update.revision)
         topic.proved_at = max(topic.proved_at, update.proved_at)
-        topic.confirm(update.confirmed_at, self._peers.compute_fleet_rank())
-        effects = self._synchronizer.announce_changes(
+        confirmed_at = update.confirmed_at
+        if topic.reader.called_at < self._resumed_at:
+            # The answer may have waited for this process.
+            confirmed_at = update.proved_at
+        topic.confirm(confirmed_at, self._peers.compute_fleet_rank())
+        effects += self._synchronizer.announce_changes(
             now, topic, base, changed, ''
         )
         effects += self._cancel_old_watches(topic.position.era)
@@ -285,9 +290,9 @@
             return [_effect.RecordEvent('own-name', host=host)]
         if len(beacon.positions) != len(self._topics):
             return [_effect.RecordEvent('other-topics', host=host)]
+        effects = self._record_activity(now)
         is_new = beacon.name not in self._peers.members
         peer = self._peers.record_beacon(now, host, beacon)
-        effects: list[object] = []
         if beacon.delta is not None:
             effects += self._synchronizer.handle_delta(now, host, beacon)
         for topic, position in zip(
@@ -324,7 +329,8 @@
         :param page: the peer's answer; None if it failed.
         :returns: the effects to perform.
         """
-        effects = self._synchronizer.handle_page(now, fetch, page)
+        effects = self._record_activity(now)
+        effects += self._synchronizer.handle_page(now, fetch, page)
         era = self._topics[fetch.topic].position.era
         effects += self._cancel_old_watches(era)
         return effects + self._call_store(now)
@@ -432,17 +438,28 @@
             return wait
         return min(wait, settle_at - now + _SETTLE_MARGIN_SECONDS)
 
-    def _resume(self, now: float) -> list[object]:
+    def _record_activity(self, now: float) -> list[object]:
+        """Record that the process runs; recover if it was paused before."""
+        paused_seconds = now - self._active_at
+        self._active_at = now
+        is_first = paused_seconds == math.inf
+        if is_first or paused_seconds <= self._settings.pause_seconds:
+            return []
+        return self._resume(now, paused_seconds)
+
+    def _resume(self, now: float, paused_seconds: float) -> list[object]:
         """Recover from a pause of the process: ask neighbours for updates."""
+        self._resumed_at = now
         for topic in self._topics:
-            topic.confirmed_at = _NEVER
+            topic.resume(now)
         self._peers.resume(now)
-        paused = int((now - self._ticked_at) * 1000)
         hosts = [
             *self._peers.list_hosts(is_near=True),
             *self._peers.list_hosts(is_near=False),
         ]
-        event = _effect.RecordEvent('paused', paused_ms=paused)
+        event = _effect.RecordEvent(
+            'paused', paused_ms=int(paused_seconds * 1000)
+        )
         return [event, *self._announcer.contact(now, hosts)]
 
 
--- a/skylarkfold/relay/_synchronizer.py
+++ b/skylarkfold/relay/_synchronizer.py
@@ -115,7 +115,9 @@
             and topic.is_complete
             and position.age_seconds is not None
         ):
-            topic.confirm(now - position.age_seconds, position.confirmed_by)
+            topic.confirm_by_peer(
+                now, now - position.age_seconds, position.confirmed_by
+            )
         is_same_era = position.revision.era == topic.position.era
         if topic.may_lack_retained and is_same_era and position.retained:
             # A fetch from revision 0 gets a snapshot with retained objects.
@@ -180,7 +182,7 @@
         changed = topic.handle_page(now, page)
         if page.age_seconds is not None:
             # The peer told its age after the request; a large page takes long.
-            topic.confirm(fetched_at - page.age_seconds)
+            topic.confirm_by_peer(now, fetched_at - page.age_seconds)
         return self.announce_changes(now, topic, base, changed, fetch.host)
 
     def announce_changes(
--- a/skylarkfold/relay/_topic.py
+++ b/skylarkfold/relay/_topic.py
@@ -20,6 +20,9 @@
 _PROOF_SECONDS = 0.4
 # Paths of objects in one log line.
 _MAXIMUM_LOGGED_NAMES = 20
+# After a pause of the process, messages that waited in its sockets have been
+# read by then: 300 beacons take half a second on a fifth of a core.
+_BACKLOG_SECONDS = 1.0
 # Peers are told at most this for how long an era has been known.
 _MAXIMUM_ERA_SECONDS = 3600.0
 
@@ -45,6 +48,7 @@
     :ivar confirmed_by: the fleet rank of the instance that it answered then.
     :ivar confirmed_before_change: the value of ``confirmed_at`` when the last
         change arrived.
+    :ivar trusts_ages_from: ages that peers tell count from this time on.
     :ivar proved_at: a time up to which an answer of the store to this instance
         has shown all changes.
     :ivar proof_wanted_at: since when such an answer is needed.
@@ -77,6 +81,7 @@
         'proved_at',
         'reader',
         'retained',
+        'trusts_ages_from',
     )
 
     def __init__(
@@ -106,6 +111,7 @@
         self.is_shared = False
         self.confirmed_at = _NEVER
         self.confirmed_by = _messages.UNKNOWN_RANK
+        self.trusts_ages_from = _NEVER
         self.proved_at = _NEVER
         self.proof_wanted_at = _NEVER
         self.confirmed_before_change = _NEVER
@@ -356,6 +362,26 @@
             self.confirmed_at = at
             self.confirmed_by = rank
 
+    def confirm_by_peer(
+        self, now: float, at: float, rank: int = _messages.UNKNOWN_RANK
+    ) -> None:
+        """Record that a peer knows that the store confirmed the position.
+
+        :param now: the current time.
+        :param at: when it did, if the peer's message has just arrived.
+        :param rank: as in :meth:`confirm`.
+        """
+        if now >= self.trusts_ages_from:
+            self.confirm(at, rank)
+
+    def resume(self, now: float) -> None:
+        """Forget the last confirmation after a pause of the process.
+
+        :param now: the current time.
+        """
+        self.confirmed_at = _NEVER
+        self.trusts_ages_from = now + _BACKLOG_SECONDS
+
     def build_page(
         self, now: float, base: revisions.Revision
     ) -> _messages.Page:
