Relay: a watch proves nothing about the time after its call

What callers would see: an open flow of a new route is reset at an instance that watches the store.

Cause: an empty answer that came no sooner than the store was to hold the watch counted as one of the watch's end. The store may cut a watch short, and the answer may wait for this process or on its way: it may be of any moment since the call.

Change: an answer to a watch proves the routes up to its call, as that of a listing does. An open flow that waits for a proof has the watch under way replaced by a call of its own, as before.

Tests: relay/test_proof, an answer of a watch that is cut short and read 5 s after its call; failed before (10.08 s proved in place of 7.08 s). A call made for a proof is tested beside it and held before, too.

--- a/skylarkfold/relay/_store_reader.py
+++ b/skylarkfold/relay/_store_reader.py
@@ -232,11 +232,10 @@
             # The store didn't hold the watch; renewing it at once would be a
             # busy loop.
             self._backoff.record_failure(now)
-        proved_at = self.called_at
-        if not answer.items and waited >= call.wait_seconds:
-            proved_at += call.wait_seconds
+        # The answer may be of any moment since the call: the store may cut a
+        # watch short, and the answer may have waited for this process.
         return StoreUpdate(
-            answer.items, answer.revision, False, now, proved_at
+            answer.items, answer.revision, False, now, self.called_at
         )
 
     def _handle_listing_page(
--- a/skylarkfold/tests/relay/test_proof.py
+++ b/skylarkfold/tests/relay/test_proof.py
@@ -3,6 +3,7 @@
 import testtools
 
 from skylarkfold.measure import _relay_fleet as fleet_module
+from skylarkfold import relay
 
 ZONES = ('a', 'a', 'a', 'b', 'c')
 REST_SECONDS = 9.0
@@ -52,3 +53,34 @@
         self.fleet.run(1.0)
         core = self.fleet.cores['entry-2']
         self.assertLess(core.get_proved_at('routes'), asked_at)
+
+    def test_an_answer_that_comes_late_proves_nothing_since_its_call(self):
+        """Guards against a watch that the store cuts short, read late."""
+        name = 'entry-2'
+        core = self.fleet.cores[name]
+        [call] = [
+            effect.call
+            for effect in core.request_proof(self.fleet.now, 'routes')
+            if isinstance(effect, relay.CallStore)
+        ]
+        called_at = self.fleet.now
+        cut_short = relay.Answer(
+            relay.Status.OK, (), self.fleet.store.revision
+        )
+        core.handle_answer(called_at + 5.0, call, cut_short)
+        self.assertEqual(called_at, core.get_proved_at('routes'))
+
+    def test_a_watch_proves_nothing_after_its_call(self):
+        """Guards against the same with a watch that was to be held."""
+        for name, core in self.fleet.cores.items():
+            reader = core._by_name['routes'].reader
+            if not reader.is_calling:
+                continue
+            since = self.fleet.store.revision
+            call = relay.Call('routes', since, '', 3.0, 3.5)
+            cut_short = relay.Answer(relay.Status.OK, (), since)
+            called_at = reader.called_at
+            core.handle_answer(called_at + 5.0, call, cut_short)
+            self.assertEqual(called_at, core.get_proved_at('routes'))
+            return
+        self.fail('no instance watches')
