Forwarder: a packet counts from the moment at which it was read

What callers would see: an open flow of a route that was just added is reset, if the instance stands still for a moment in the middle of a batch of packets.

Cause: up to 64 packets that are read one after the other had the time at which the first was read. The first of them may have the store called for a proof; a later one, which arrives after that call, counted as older than it, so that the answer decided about a route that may be newer. A core that has used its quota stands still for up to a tenth of a second.

Change: each packet has the time at which it was read. The loop that reads them moves out of the daemon, so that it can be tested without sockets.

Tests: forwarder/test_packets; with the batch's time in the new module the first one fails.

--- a/skylarkfold/forwarder/_daemon.py
+++ b/skylarkfold/forwarder/_daemon.py
@@ -10,6 +10,7 @@
 from skylarkfold.forwarder import _departure
 from skylarkfold.forwarder import _gauges
 from skylarkfold.forwarder import _metrics
+from skylarkfold.forwarder import _packets
 from skylarkfold.forwarder import _peer_messages
 from skylarkfold.forwarder import _peers
 from skylarkfold.forwarder import _platform
@@ -29,9 +30,6 @@
 from skylarkfold import revision as revisions
 from skylarkfold import room as rooms
 
-# Packets read in one go before timers and other sockets are served.
-_BATCH_PACKETS = 64
-_PACKET_BYTES = 2048
 # Interval for updating the load in beacons; the same as between beacons.
 _LOAD_SECONDS = 0.2
 _FLUSH_SECONDS = 0.1
@@ -118,7 +116,16 @@
             self._perform,
         )
         self._departure: _departure.Departure | None = None
-        self._last_packet_at = float('-inf')
+        self._receiver = _packets.PacketReceiver(
+            self._loop,
+            packets,
+            platform,
+            self._traffic_counter,
+            self._reporter,
+            lambda now, packet: self._perform(
+                self._affinity.handle_packet(now, packet)
+            ),
+        )
         self._tick_timer = self._loop.call_later(0.0, self._tick)
         self._effect_handlers = {
             affinity.Forward: self._forward,
@@ -231,20 +238,8 @@
         self._reporter.log('settings', reason=reason, seeds=settings.seeds)
 
     def _receive_packets(self) -> None:
-        now = self._last_packet_at = self._loop.now()
-        receive = self._packets.recv
-        decode = self._platform.decode_packet
-        for _ in range(_BATCH_PACKETS):
-            try:
-                data = receive(_PACKET_BYTES)
-            except BlockingIOError:
-                break
-            self._traffic_counter.count_received(len(data))
-            packet = decode(data)
-            if packet is None:
-                self.count(_metrics.PACKET_MALFORMED)
-                continue
-            self._perform(self._affinity.handle_packet(now, packet))
+        self._receiver.receive()
+        now = self._loop.now()
         self._traffic_counter.report(now)
         self._flush_and_reschedule(now)
 
@@ -389,7 +384,7 @@
         if departure.must_leave(now, self._relay.may_leave(now)):
             self._reporter.log('leaving')
             self._perform(self._relay.leave(now))
-        if departure.is_over(now, self._last_packet_at):
+        if departure.is_over(now, self._receiver.last_packet_at):
             self._loop.stop()
 
     def _serve_readiness(self, _path: str) -> tuple[int, bytes]:
