Affinity: hold the first packet on an unknown route for the change that brings it

What callers saw: the first callers of a route that was just added were refused, as at a closed port, by instances that knew the change a few milliseconds later.

Change: a first packet on an address without a route is held for 0.2 s, 512 of them in a queue of their own, and is placed as soon as its route comes. Refused at once, as before: an address whose route is known to have been removed, a copy (its caller has waited already), and what finds the queue full. No call to the store is made for any of them, and none takes the place of open flows' packets.

Weighed: dropping the first packet and deciding on the caller's copy needs no queue, but costs each such caller 0.2 s, and a second where copies come later.

--- a/skylarkfold/affinity/_core.py
+++ b/skylarkfold/affinity/_core.py
@@ -109,7 +109,16 @@
             self._health,
             lambda address: self._routes.get(address),
         )
-        self._held_packets = _held_packets.HeldPackets()
+        # Packets whose upstream is not known yet, and all packets before
+        # this instance is ready.
+        self._held_packets = _held_packets.HeldPackets(
+            _held_packets.TOKEN_SECONDS
+        )
+        # First packets whose route is not known; a queue of their own, so
+        # that a flood of them leaves room for open flows.
+        self._unrouted_packets = _held_packets.HeldPackets(
+            _held_packets.ROUTE_SECONDS
+        )
         self._upstream_sync = _upstream_sync.UpstreamSync(
             settings,
             self._directory,
@@ -164,6 +173,7 @@
         is_same_era = routes.revision.era == self._routes.revision.era
         if is_same_era and routes.version <= self._routes.version:
             return []
+        routes.record_removed(self._routes)
         self._routes = routes
         self._warm_up_limiter.set_warm_ups(routes.warm_ups)
         if self.link is not None:
@@ -174,6 +184,8 @@
         ]
         effects += self._upstream_sync.set_services(now, routes.services)
         effects += self._release_held(now)
+        for packet in self._unrouted_packets.take(routes):
+            effects += self._handle_first_packet(now, packet)
         return effects + self._release_pending(now)
 
     def set_upstreams(
@@ -235,8 +247,10 @@
         effects += self._release_pending(now)
         if self.link is not None:
             effects += self._release_link(now, self.link)
-        for _ in range(self._held_packets.expire(now)):
+        for _ in self._held_packets.expire(now):
             self.tally.count(_tally.DROPPED, _tally.HELD_TOO_LONG)
+        for packet in self._unrouted_packets.expire(now):
+            effects += self._refuse_route(now, packet)
         return effects
 
     def find_due(self, now: float) -> float | None:
@@ -252,6 +266,7 @@
             self._flow_opener.find_due(),
             self._health.find_due(),
             self._held_packets.find_due(),
+            self._unrouted_packets.find_due(),
             None if self.link is None else self.link.find_due(now),
         )
         return min((at for at in deadlines if at is not None), default=None)
@@ -266,9 +281,23 @@
             return self._hold(now, packet, Reason.ROUTE_UNKNOWN)
         route = self._routes.get(packet.address)
         if route is None:
-            return self._refuse_route(now, packet)
+            return self._handle_unrouted_first_packet(now, packet)
         return self._place(now, packet, route)
 
+    def _handle_unrouted_first_packet(
+        self, now: float, packet: _packet.Packet
+    ) -> list[object]:
+        """Hold a first packet for the change that may bring its route.
+
+        Callers take a refusal for a closed port, and many don't come back.
+        """
+        is_copy = packet.acknowledged > 0
+        is_known = is_copy or self._routes.was_removed(packet.address)
+        if is_known or not self._unrouted_packets.add(now, packet):
+            return self._refuse_route(now, packet)
+        self.tally.count(_tally.HELD, Reason.ROUTE_UNKNOWN)
+        return []
+
     def _place(
         self,
         now: float,
--- a/skylarkfold/affinity/_held_packets.py
+++ b/skylarkfold/affinity/_held_packets.py
@@ -3,21 +3,30 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Container
 
 from skylarkfold.affinity import _packet
 
 # Twice the time after which callers repeat a packet.
-_HELD_SECONDS = 0.4
+TOKEN_SECONDS = 0.4
+# A change of the routes arrives within some milliseconds, at an instance that
+# has just started within some tenths of a second. Callers repeat a first
+# packet after 0.2 s.
+ROUTE_SECONDS = 0.2
 # 1 MB at 2 KB a packet.
 _HELD_PACKETS = 512
 
 
 class HeldPackets:
-    """A bounded queue of packets with a deadline."""
+    """A bounded queue of packets with a deadline.
 
-    __slots__ = ('_waiting',)
+    :param seconds: how long a packet is held.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ('_seconds', '_waiting')
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
         self._waiting: collections.deque[tuple[float, _packet.Packet]] = (
             collections.deque()
         )
@@ -31,7 +40,7 @@
         """
         if len(self._waiting) >= _HELD_PACKETS:
             return False
-        self._waiting.append((now + _HELD_SECONDS, packet))
+        self._waiting.append((now + self._seconds, packet))
         return True
 
     def find_due(self) -> float | None:
@@ -47,14 +56,31 @@
         waiting, self._waiting = self._waiting, collections.deque()
         return [packet for until, packet in waiting if now <= until]
 
-    def expire(self, now: float) -> int:
-        """Drop the packets that have expired.
+    def take(self, addresses: Container[bytes]) -> list[_packet.Packet]:
+        """Remove the packets that were sent to some addresses.
+
+        :param addresses: packed addresses.
+        :returns: the packets, in order.
+        """
+        taken = []
+        kept: collections.deque[tuple[float, _packet.Packet]] = (
+            collections.deque()
+        )
+        for until, packet in self._waiting:
+            if packet.address in addresses:
+                taken.append(packet)
+            else:
+                kept.append((until, packet))
+        self._waiting = kept
+        return taken
+
+    def expire(self, now: float) -> list[_packet.Packet]:
+        """Remove the packets that have expired.
 
         :param now: the time.
-        :returns: how many were dropped.
+        :returns: the packets, in order.
         """
-        count = 0
+        expired = []
         while self._waiting and self._waiting[0][0] < now:
-            self._waiting.popleft()
-            count += 1
-        return count
+            expired.append(self._waiting.popleft()[1])
+        return expired
--- a/skylarkfold/affinity/_route.py
+++ b/skylarkfold/affinity/_route.py
@@ -9,6 +9,10 @@
 from skylarkfold import revision as revisions
 
 
+# More removed addresses than this are not remembered.
+_MAXIMUM_REMOVED = 4096
+
+
 class Route:
     """An address that callers use and the services behind it.
 
@@ -98,6 +102,7 @@
     """
 
     __slots__ = (
+        '_removed',
         '_routes',
         'idle_seconds',
         'revision',
@@ -121,6 +126,8 @@
         self.services = frozenset(services)
         self.idle_seconds = idle_seconds
         self._routes = {each.address: each for each in routes}
+        # The addresses of former routes, the last removed last.
+        self._removed: dict[bytes, None] = {}
         last = max(
             (each.priority for each in self._routes.values()), default=0
         )
@@ -141,5 +148,22 @@
         """
         return self._routes.get(address)
 
+    def record_removed(self, previous: RouteTable) -> None:
+        """Remember which routes there were before this version.
+
+        :param previous: the version that was active before.
+        """
+        former = [*previous._removed, *previous._routes]
+        removed = [each for each in former if each not in self._routes]
+        self._removed = dict.fromkeys(removed[-_MAXIMUM_REMOVED:])
+
+    def was_removed(self, address: bytes) -> bool:
+        """Return whether an earlier version had a route that is gone.
+
+        :param address: the packed address and port.
+        :returns: whether it did.
+        """
+        return address in self._removed
+
 
 EMPTY_TABLE = RouteTable(-1, ())
