Affinity: a removed route ends its flows where the store can't be asked

What callers would see: a flow whose route was removed goes on for as long as it likes, if it moves to an instance that never knew the route and does not reach the store for the 0.4 s in which its packets are held.

Cause: only the store's answer to the instance itself counted. An instance that is no watcher gets none later on.

Change: a confirmation that peers tell of counts as well if it is 2 s younger than the flow's arrival. What they tell may be late by the way of a beacon and by pauses too short to be noticed, 0.8 s each; this allows for two of them.

Tests: forwarder/test_new_route, an instance that reaches its peers and not the store; the flow was forwarded 5 s later before, and is ended now.

--- a/skylarkfold/affinity/_route_freshness.py
+++ b/skylarkfold/affinity/_route_freshness.py
@@ -6,6 +6,9 @@
 from skylarkfold.affinity import _settings
 
 _NEVER = float('-inf')
+# What peers tell of a confirmation may be late by this much: by a pause that
+# is too short to be noticed, at two instances that pass it on.
+_REPORT_DELAY_SECONDS = 2.0
 
 
 class RouteFreshness:
@@ -58,7 +61,8 @@
         :param at: the time.
         :returns: whether it would, unless it was removed since.
         """
-        return self._proved_at >= at
+        told_at = self._confirmed_at - _REPORT_DELAY_SECONDS
+        return max(self._proved_at, told_at) >= at
 
     def describe(self, now: float) -> dict[str, object]:
         """Return the ages of both, for the log lines of decisions.
--- a/skylarkfold/tests/forwarder/test_new_route.py
+++ b/skylarkfold/tests/forwarder/test_new_route.py
@@ -25,6 +25,9 @@
 OFFSETS = (0.02, 0.1, 0.3, 0.6, 0.9)
 # How long the packets of such a flow may be held.
 HELD_SECONDS = 0.4
+# The time within which an instance in touch with others has learnt more than
+# what peers can have told late.
+LEARNT_SECONDS = 5.0
 
 
 class NewRouteTest(testtools.TestCase):
@@ -126,3 +129,19 @@
             started.run(HELD_SECONDS)
             self.assertEqual([packet.flow], started.list_resets(), offset)
             self.assertEqual([], started.list_forwarded(), offset)
+
+    def test_a_removal_without_the_store_ends_open_flows_later(self):
+        """Guards against flows that outlive their route for good."""
+        started = self.restart()
+        self.fleet.cut = lambda one, other: (
+            one == STARTED and other == fleet_module.STORE
+        )
+        started.receive(self.build_packet())
+        started.run(2 * HELD_SECONDS)
+        self.assertEqual([], started.list_resets())
+        # Its peers tell it that the store has confirmed the routes since.
+        started.run(LEARNT_SECONDS)
+        packet = self.build_packet(sequence=111)
+        started.receive(packet)
+        started.run(HELD_SECONDS)
+        self.assertEqual([packet.flow], started.list_resets())
