Relay: an instance alone with a restored store does not take its routes for all

What callers would see: open flows are reset, and new ones refused, on a route that the store lost when it was restored from an older copy, while others retain it until its operator writes it again.

Cause: an instance that starts just then, with the store in reach and no other instance, took the store's objects for complete after 2.5 s, the time in which upstreams write their entries again. Operators have 15 s.

Change: an instance that has listed a restored store by itself and has not met a peer since waits as long as routes are retained, before it claims to know all routes. One that meets a peer fetches what that retains, as before; a fleet that starts as a whole is settled as soon as before.

--- a/skylarkfold/relay/_synchronizer.py
+++ b/skylarkfold/relay/_synchronizer.py
@@ -119,6 +119,7 @@
                 now, now - position.age_seconds, position.confirmed_by
             )
         is_same_era = position.revision.era == topic.position.era
+        topic.has_met_peer = topic.has_met_peer or is_same_era
         if topic.may_lack_retained and is_same_era and position.retained:
             # A fetch from revision 0 gets a snapshot with retained objects.
             return effects + self._start_fetch(
--- a/skylarkfold/relay/_topic.py
+++ b/skylarkfold/relay/_topic.py
@@ -42,6 +42,7 @@
         at the peer that sent it.
     :ivar may_lack_retained: whether the first listing came from the store, so
         that peers may retain objects that this instance has never seen.
+    :ivar has_met_peer: whether a peer has told its position in this era.
     :ivar is_complete: whether the topic has been read once.
     :ivar is_shared: whether the whole fleet has one set of watchers for it.
     :ivar confirmed_at: when the store last confirmed the position.
@@ -72,6 +73,7 @@
         'era_known_since',
         'fetch_expires_at',
         'fetch_host',
+        'has_met_peer',
         'is_complete',
         'is_shared',
         'may_lack_retained',
@@ -104,6 +106,7 @@
         )
         self.era_known_since = _NEVER
         self.may_lack_retained = False
+        self.has_met_peer = False
         # Whether this process has seen the store being restored.
         self._has_seen_restore = False
         self._events: list[_effect.RecordEvent] = []
@@ -206,8 +209,8 @@
         :returns: whether the store was heard from after the time that they
             have for it.
         """
-        since = self.era_known_since + self._settings.rewrite_seconds
-        return not self.retained and self.confirmed_at > since
+        is_complete = self.confirmed_at > self._compute_rewritten_at()
+        return not self.retained and is_complete
 
     def compute_settle_time(self) -> float | None:
         """Return when an answer of the store next settles something.
@@ -221,9 +224,23 @@
         # An instance that listed the store before it met a peer doesn't know
         # when the era began either.
         if self._has_seen_restore or self.may_lack_retained:
-            return self.era_known_since + self._settings.rewrite_seconds
+            return self._compute_rewritten_at()
         return None
 
+    def _compute_rewritten_at(self) -> float:
+        """Return when the writers have written lost objects again.
+
+        What other instances retain shows what is lost. An instance that has
+        met none has to wait as long as they may retain it.
+        """
+        settings = self._settings
+        was_restored = self.position.era > 0
+        is_alone = self.may_lack_retained and not self.has_met_peer
+        seconds = settings.rewrite_seconds
+        if is_alone and was_restored and self.name in settings.lasting_topics:
+            seconds = settings.lasting_seconds
+        return self.era_known_since + seconds
+
     def apply_changes(
         self, items: Iterable[_item.Item], revision: revisions.Revision
     ) -> list[_item.Item]:
@@ -318,6 +335,7 @@
         for each in self.retained.list_all():
             known[each.item.path] = each.item
         self.era_known_since = now - era_seconds
+        self.has_met_peer = False
         self.cache = object_cache.ObjectCache(
             self._settings.tombstones, revisions.ZERO
         )
--- a/skylarkfold/tests/forwarder/instance.py
+++ b/skylarkfold/tests/forwarder/instance.py
@@ -54,6 +54,7 @@
 
     :param fleet: the fleet.
     :param name: the instance of the fleet, which has just been started.
+    :ivar started_at: when it was started.
     :ivar effects: what it decided, each with the time.
     :ivar lines: its log lines about the process, each with its fields.
     """
@@ -61,6 +62,7 @@
     def __init__(self, fleet, name):
         self.fleet = fleet
         self.name = name
+        self.started_at = fleet.now
         self.effects = []
         self.lines = []
         self.core = affinity.AffinityCore(
