Start: read a settings file again that is being written

Cause: a running instance keeps its settings where the file can't be read; a start took a file cut short for an invalid one.

Change: a start reads a file that is missing or no complete JSON again for 2 s and says so once on standard error; then it ends with the same status. A complete file with invalid settings ends it at once, as before.

--- a/skylarkfold/platform/__main__.py
+++ b/skylarkfold/platform/__main__.py
@@ -13,6 +13,7 @@
 import gc
 import os
 import sys
+import time
 import types
 
 from skylarkfold import datagram
@@ -24,6 +25,10 @@
 PATH_VARIABLE = 'SKYLARKFOLD_CONFIG'
 EXIT_SETTINGS = 3
 EXIT_ADDRESS = 6
+# How long a start waits for a settings file that is being written, and the
+# pause between two attempts to read it.
+SETTINGS_SECONDS = 2.0
+_RETRY_SECONDS = 0.05
 
 
 def main() -> int:
@@ -38,7 +43,7 @@
         if not path:
             raise errors.SettingsError(f'{PATH_VARIABLE} is not set')
         file = machine.SettingsFile(path)
-        settings = file.read()
+        settings = _read_settings(file)
         packets = datagram.bind(settings.packet_address)
         forwarder_settings_path = sys.argv[1] if len(sys.argv) > 1 else ''
         _serve(settings, file, forwarder_settings_path, packets)
@@ -51,6 +56,33 @@
     return 0
 
 
+def _read_settings(file: machine.SettingsFile) -> machine.MachineSettings:
+    """Read the settings, again if the file is incomplete.
+
+    The platform may be writing it. A complete file with invalid settings is
+    an error at once.
+    """
+    until = time.monotonic() + SETTINGS_SECONDS
+    has_told = False
+    while True:
+        try:
+            return file.read()
+        except (
+            errors.SettingsSyntaxError,
+            errors.SettingsUnreadableError,
+        ) as error:
+            if time.monotonic() >= until:
+                raise
+            if not has_told:
+                has_told = True
+                print(
+                    f'{error}; reading it again for {SETTINGS_SECONDS} s',
+                    file=sys.stderr,
+                    flush=True,
+                )
+        time.sleep(_RETRY_SECONDS)
+
+
 def load() -> tuple[types.ModuleType, types.ModuleType]:
     """Import the modules that are loaded after the socket is bound.
 
--- a/skylarkfold/soak/_instance.py
+++ b/skylarkfold/soak/_instance.py
@@ -26,6 +26,7 @@
     :param name: the instance's name.
     :param zone: its availability zone.
     :param host: its IP address.
+    :ivar settings_path: the path of the platform's settings file.
     :ivar unexpected_exits: exit statuses of exits that no signal caused.
     :ivar is_restarted: whether the process is restarted when it exits.
     :ivar output: the file descriptor for standard output; None for the log
@@ -47,7 +48,7 @@
         self.is_restarted = True
         self.output: int | None = None
         self._loop = loop
-        self._path = folder / f'{name}.settings'
+        self.settings_path = folder / f'{name}.settings'
         self._process_settings_path = folder / f'{name}.json'
         self._log_path = folder / f'{name}.log'
         self._process: subprocess.Popen | None = None
@@ -70,7 +71,7 @@
         """
         self._settings = (base_port, seeds, store, zones)
         packets.write_settings(
-            self._path,
+            self.settings_path,
             self.name,
             self.zone,
             self.host,
@@ -87,7 +88,9 @@
 
     def start(self) -> None:
         """Start the process and poll for its exit."""
-        environment = dict(os.environ, SKYLARKFOLD_CONFIG=str(self._path))
+        environment = dict(
+            os.environ, SKYLARKFOLD_CONFIG=str(self.settings_path)
+        )
         command = [sys.executable, '-m', 'skylarkfold.platform']
         command.append(str(self._process_settings_path))
         with open(self._log_path, 'ab') as log:
@@ -116,9 +119,11 @@
 
         :param seconds: the time until it is written back.
         """
-        contents = self._path.read_text()
-        self._path.write_text(contents[: len(contents) // 2])
-        self._loop.call_later(seconds, lambda: self._path.write_text(contents))
+        contents = self.settings_path.read_text()
+        self.settings_path.write_text(contents[: len(contents) // 2])
+        self._loop.call_later(
+            seconds, lambda: self.settings_path.write_text(contents)
+        )
 
     def end(self) -> None:
         """Kill the process and do not restart it."""
--- a/skylarkfold/tests/platform/test_processes.py
+++ b/skylarkfold/tests/platform/test_processes.py
@@ -131,6 +131,21 @@
         self.assertEqual(packets.ANSWERED, self.ask(self.open()).outcome)
         self.assertEqual([], instance.unexpected_exits)
 
+    def test_truncated_settings_file_delays_a_start(self):
+        """Guards against instances that end by themselves."""
+        self.wait_for_rotation()
+        instance = self.world.instances[0]
+        contents = instance.settings_path.read_text()
+        instance.settings_path.write_text(contents[: len(contents) // 2])
+        instance.send(signal.SIGKILL)
+        waiting = 'reading it again'
+        self.run_until(lambda: waiting in instance.read_log())
+        instance.settings_path.write_text(contents)
+        self.run_until(
+            lambda: '"ready"' in instance.read_log().split(waiting)[-1]
+        )
+        self.assertEqual([], instance.unexpected_exits)
+
     def fetch(self, address):
         """Fetch the metrics of an instance."""
         answers = []
@@ -163,9 +178,9 @@
         instance = self.world.instances[0]
         address = instance.metrics_address
         self.assertNotIn('services_short', self.fetch(address))
-        settings = json.loads(instance._path.read_text())
+        settings = json.loads(instance.settings_path.read_text())
         settings['terms'] = ['pressure']
-        instance._path.write_text(json.dumps(settings))
+        instance.settings_path.write_text(json.dumps(settings))
         self.run_until(lambda: '"reason":"reloaded"' in instance.read_log())
         self.assertIn('skylarkfold_services_short 0', self.fetch(address))
         # Invalid settings are logged and change nothing.
