Start: a reload that is requested too early no longer ends the process

Cause: the signal had its default effect until the forwarder handled it.

Change: a start ignores it first of all.

Test: test_processes, the truncated file that delays a start, with a SIGHUP before the file is whole; it ended with -1 before.

--- a/skylarkfold/light_imports.py
+++ b/skylarkfold/light_imports.py
@@ -45,6 +45,7 @@
 inet_pton = _socket.inet_pton
 
 # Likewise for ``signal``.
+SIG_IGN = _signal.SIG_IGN
 SIGHUP = _signal.SIGHUP
 SIGINT = _signal.SIGINT
 SIGTERM = _signal.SIGTERM
--- a/skylarkfold/platform/__main__.py
+++ b/skylarkfold/platform/__main__.py
@@ -36,6 +36,11 @@
 
     :returns: the exit status.
     """
+    # The settings are read below, and again if they change, so a reload that
+    # is requested before the forwarder handles the signal is not lost.
+    light_imports.set_signal_handler(
+        light_imports.SIGHUP, light_imports.SIG_IGN
+    )
     # Speeds up the start; the forwarder enables it again.
     gc.disable()
     try:
--- a/skylarkfold/tests/platform/test_processes.py
+++ b/skylarkfold/tests/platform/test_processes.py
@@ -140,6 +140,8 @@
         instance.send(signal.SIGKILL)
         waiting = 'reading it again'
         self.run_until(lambda: waiting in instance.read_log())
+        # The platform tells of the file before the instance can be told.
+        instance.send(signal.SIGHUP)
         instance.settings_path.write_text(contents)
         self.run_until(
             lambda: '"ready"' in instance.read_log().split(waiting)[-1]
