Review: versions written during a cut of the store stay unknown after it

Cause: an answer of the store above 8 MB counts as none, and the same watch is asked again from the same revision; nothing falls back to a listing.

The store of review/loopback.py can be cut off and forgets its history after 20 s.

--- a/review/loopback.py
+++ b/review/loopback.py
@@ -47,6 +47,7 @@
 HEARTBEAT_SECONDS = 1.2
 MISSED_HEARTBEATS = 3
 STORE_SECONDS = 0.004
+HISTORY_SECONDS = 20.0
 PAGE_OBJECTS = 500
 CHECK_SECONDS = 0.5
 MISSES = 2
@@ -164,8 +165,11 @@
         self._revision = 1
         self._objects = collections.defaultdict(dict)
         self._history = []
+        self._forgotten = 0
         self._changed = asyncio.Event()
         self._server = None
+        self._is_cut_off = False
+        self._cuts = 0
         self.address = None
 
     async def start(self, host):
@@ -177,6 +181,15 @@
         """Stop listening."""
         self._server.close()
 
+    def cut_off(self):
+        """Cut the store off from the instances: no call is answered."""
+        self._is_cut_off = True
+        self._cuts += 1
+
+    def heal(self):
+        """End the cut; connections from before it stay silent."""
+        self._is_cut_off = False
+
     def put(self, kind, name, spec):
         """Write an object.
 
@@ -195,6 +208,10 @@
         self._remember(kind, name, entry, False)
         return True
 
+    def measure(self, kind, name):
+        """Return the size of an object's value, in bytes."""
+        return len(self._objects[kind][name][2])
+
     def delete(self, kind, name):
         """Remove an object."""
         known = self._objects[kind].pop(name, None)
@@ -205,20 +222,33 @@
         self._remember(kind, name, entry, True)
 
     def _remember(self, kind, name, entry, is_deleted):
-        self._history.append((kind, name, entry, is_deleted))
+        now = time.monotonic()
+        self._history.append((kind, name, entry, is_deleted, now))
+        while self._history[0][-1] < now - HISTORY_SECONDS:
+            self._forget_oldest()
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _forget_oldest(self):
+        self._forgotten = self._history.pop(0)[2][0]
+
     async def _serve(self, reader, writer):
+        cuts = self._cuts
         try:
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
                 path = head.split(b' ', 2)[1].decode()
                 await asyncio.sleep(STORE_SECONDS)
                 body = await self._answer(path)
+                if self._is_cut_off or cuts != self._cuts:
+                    # Nothing passes; the other side closes in the end.
+                    await reader.read()
+                    return
+                status = b'200 OK' if body is not None else b'410 Gone'
+                body = body or b'{}'
                 writer.write(
-                    b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
-                    b'Content-Length: %d\r\n\r\n%s' % (len(body), body)
+                    b'HTTP/1.1 %s\r\nContent-Type: application/json\r\n'
+                    b'Content-Length: %d\r\n\r\n%s' % (status, len(body), body)
                 )
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -252,10 +282,15 @@
         until = time.monotonic() + int(query.get('wait_ms', 0)) / 1000
         since = int(query['watch'])
         while True:
+            oldest = time.monotonic() - HISTORY_SECONDS
+            while self._history and self._history[0][-1] < oldest:
+                self._forget_oldest()
+            if since < self._forgotten:
+                return None
             events = [
                 b'{"object":%s,"deleted":%s}'
                 % (_encode_object(name, entry), b'true' if gone else b'false')
-                for of, name, entry, gone in self._history
+                for of, name, entry, gone, _ in self._history
                 if of == kind and entry[0] > since
             ]
             left = until - time.monotonic()
@@ -845,6 +880,7 @@
         self.instances = []
         self.forged = []
         self.sent = {}
+        self.addresses = {}
         self.outcomes = {}
         self.runs = collections.defaultdict(list)
         self.resets = {}
@@ -939,7 +975,11 @@
                 },
             },
         )
-        self.record.write(f'configuration {version} is acknowledged')
+        size = self.store.measure('config', 'main')
+        self.record.write(
+            f'configuration {version} is acknowledged: {len(routes)} routes, '
+            f'{size} bytes'
+        )
 
     def route(self, zone, packet):
         """Send a client's packet to an instance of its zone."""
@@ -959,6 +999,7 @@
     def note_sent(self, client, port, address, attempt, at):
         """Note that a client begins to send a request."""
         self.sent[attempt] = at
+        self.addresses[attempt] = address
         self._by_flow[((client.host, port), address)] = attempt
 
     def note_outcome(self, attempt, outcome):
