Store: an answer that can't be decoded has a status of its own

The answers of a store that is away and answers that can't be decoded were both counted as skylarkfold_store_unknown and logged as 'dependency lost' with the reason 'unknown'.

An answer that can't be decoded now has the status 'malformed': in the counter skylarkfold_store_malformed, and as the reason of 'dependency lost'. The pauses and calls that follow it are the same.

Three tests asserted the old common status of such answers and now assert the new one, as strictly: an unreadable era, bytes that are no answer, a truncated page whose objects have no name.

--- a/skylarkfold/platform/_store.py
+++ b/skylarkfold/platform/_store.py
@@ -139,7 +139,7 @@
     except errors.DecodeError as error:
         # Without its era, the response can't be ordered against others.
         input_errors.report(_input_errors.ANSWER, call.topic, 0, error.reason)
-        return relay.Answer(relay.Status.UNKNOWN)
+        return relay.Answer(relay.Status.MALFORMED)
     return _decode(call, reply.status, reply.body, input_errors, era)
 
 
@@ -172,7 +172,7 @@
         input_errors.report(
             _input_errors.ANSWER, call.topic, 0, type(error).__name__
         )
-        return relay.Answer(relay.Status.UNKNOWN)
+        return relay.Answer(relay.Status.MALFORMED)
 
 
 def _parse(body: bytes) -> object:
--- a/skylarkfold/relay/_store_call.py
+++ b/skylarkfold/relay/_store_call.py
@@ -56,8 +56,10 @@
     FORGOTTEN = 'forgotten'
     # The store refused the call.
     REFUSED = 'refused'
-    # There was no answer, or a malformed one.
+    # There was no answer.
     UNKNOWN = 'unknown'
+    # The answer can't be decoded.
+    MALFORMED = 'malformed'
     # The call was cancelled by this instance.
     ABANDONED = 'abandoned'
 
--- a/skylarkfold/tests/platform/test_foreign.py
+++ b/skylarkfold/tests/platform/test_foreign.py
@@ -274,7 +274,7 @@
     def test_truncated_page_without_readable_objects_is_rejected(self):
         body = {'items': [None, {}], 'truncated': True, 'current_rev': 9}
         answer = self.decode(json.dumps(body).encode())
-        self.assertEqual(relay.Status.UNKNOWN, answer.status)
+        self.assertEqual(relay.Status.MALFORMED, answer.status)
         answer = self.list_page(None, {})
         self.assertEqual(relay.Status.OK, answer.status)
 
--- a/skylarkfold/tests/platform/test_objects.py
+++ b/skylarkfold/tests/platform/test_objects.py
@@ -182,7 +182,7 @@
     def test_invalid_era_makes_the_answer_unknown(self):
         for text in ('', 'two', '-1', '1.0', '²', '1' * 20):
             answer = self.decode(store_era=text)
-            self.assertEqual(relay.Status.UNKNOWN, answer.status, text)
+            self.assertEqual(relay.Status.MALFORMED, answer.status, text)
         self.assertEqual(6, self.input_errors.counters['unusable.answer'])
 
     def test_request_path_has_the_number_without_the_era(self):
@@ -245,4 +245,4 @@
     )
     def test_nonsense_is_no_answer(self, body):
         answer = self.decode(body)
-        self.assertIn(answer.status, (relay.Status.UNKNOWN, relay.Status.OK))
+        self.assertIn(answer.status, (relay.Status.MALFORMED, relay.Status.OK))
