Store: an object that is not valid JSON no longer hides the others

Cause: an answer of the store was parsed as one document. One entry of another writer that the parser refuses made all objects of the answer unusable, and the same call was made again. One call of the decoder shows it, without sockets: an entry with a control character between two valid ones, and nothing is read.

Where a damaged object ends can't be told from its text, so the answer ends there: the next page begins after its name, the next watch after its revision. Nothing in its text counts as another object, an end or a revision.

--- a/skylarkfold/light_imports.py
+++ b/skylarkfold/light_imports.py
@@ -12,6 +12,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import _datetime
 import _json
 import _signal
@@ -80,6 +82,39 @@
 _scan = _json.make_scanner(_ScannerOptions)
 
 
+def _keep_first(pairs: list[tuple[str, object]]) -> dict[str, object]:
+    """Build an object; of members with the same name, the first counts."""
+    members: dict[str, object] = {}
+    for name, value in pairs:
+        members.setdefault(name, value)
+    return members
+
+
+def _parse_integer(digits: str) -> int | None:
+    """Parse an integer; return None if ``int`` refuses its length."""
+    try:
+        return int(digits)
+    except ValueError:
+        return None
+
+
+class _LenientOptions(_ScannerOptions):
+    """Accepts control characters in strings."""
+
+    strict = False
+
+
+class _UntrustedOptions(_LenientOptions):
+    """Also accepts integers of any length, and ignores repeated members."""
+
+    object_pairs_hook = staticmethod(_keep_first)
+    parse_int = staticmethod(_parse_integer)
+
+
+_scan_lenient = _json.make_scanner(_LenientOptions)
+_scan_untrusted = _json.make_scanner(_UntrustedOptions)
+
+
 def parse_json(data: str | bytes) -> object:
     """Parse JSON with the same results as ``json.loads``.
 
@@ -103,6 +138,65 @@
     return json.loads(data)
 
 
+def parse_lenient_json(text: str) -> object:
+    """Parse JSON that may have control characters in strings.
+
+    :param text: the JSON document.
+    :returns: the parsed value.
+    :raises ValueError: if the document is not valid JSON.
+    :raises RecursionError: if it is nested too deeply.
+    """
+    text = text.strip(_WHITESPACE)
+    value, end = _scan_at(_scan_lenient, text, 0)
+    if end != len(text):
+        raise ValueError('extra data after the JSON document')
+    return value
+
+
+def scan_json(text: str, position: int) -> tuple[object, int]:
+    """Parse the JSON value at a position of a text.
+
+    Strings may have control characters. An integer that is too long for
+    ``int`` becomes null.
+
+    :param text: a text that contains the value.
+    :param position: where the value begins.
+    :returns: the value and the position after it.
+    :raises ValueError: if no valid value begins there.
+    :raises RecursionError: if it is nested too deeply.
+    """
+    try:
+        return _scan_at(_scan_lenient, text, position)
+    except ValueError:
+        return _scan_at(_scan_untrusted, text, position)
+
+
+def scan_untrusted_json(text: str, position: int) -> tuple[object, int]:
+    """Parse a value like :func:`scan_json`, ignoring repeated members.
+
+    Of members with the same name, the first counts instead of the last.
+
+    :param text: a text that contains the value.
+    :param position: where the value begins.
+    :returns: the value and the position after it.
+    :raises ValueError: if no valid value begins there.
+    :raises RecursionError: if it is nested too deeply.
+    """
+    return _scan_at(_scan_untrusted, text, position)
+
+
+def _scan_at(
+    scan: Callable[[str, int], tuple[object, int]], text: str, position: int
+) -> tuple[object, int]:
+    try:
+        return scan(text, position)
+    except StopIteration:
+        raise ValueError('no JSON value') from None
+    except SystemError:
+        # The C scanner can't report an error while ``json`` is not loaded.
+        raise ValueError('invalid JSON value') from None
+
+
 def _load_http_parser() -> types.ModuleType:
     """Load the parser of ``httptools`` without importing ``typing``.
 
--- a/skylarkfold/relay/_store_call.py
+++ b/skylarkfold/relay/_store_call.py
@@ -20,11 +20,14 @@
     :param timeout_seconds: when the call fails without an answer.
     :param era: the known era of the store, assumed for an answer that doesn't
         tell its own.
+    :param is_cautious: in a listing, whether only the first object of a page
+        with a damaged object is used.
     """
 
     __slots__ = (
         'after',
         'era',
+        'is_cautious',
         'revision',
         'timeout_seconds',
         'topic',
@@ -39,7 +42,9 @@
         wait_seconds: float,
         timeout_seconds: float,
         era: int = 0,
+        is_cautious: bool = False,
     ) -> None:
+        self.is_cautious = is_cautious
         self.topic = topic
         self.revision = revision
         self.after = after
@@ -69,11 +74,27 @@
 
     :param status: one of :class:`Status`.
     :param items: the listed or changed objects.
-    :param revision: the store's revision at the answer.
-    :param is_truncated: whether a listing has further pages.
+    :param revision: the store's revision at the answer; of truncated changes,
+        the revision of the last one.
+    :param is_truncated: whether a listing has further pages, or further
+        changes after the revision are known to exist.
+    :param first_path: the path of the first object of a listing's page,
+        usable or not.
+    :param last_path: the path after which the next page begins; empty for the
+        last item's.
+    :param next_path: the path with which the next page must begin; empty if
+        unknown. Otherwise parts of a damaged object were taken for objects.
     """
 
-    __slots__ = ('is_truncated', 'items', 'revision', 'status')
+    __slots__ = (
+        'first_path',
+        'is_truncated',
+        'items',
+        'last_path',
+        'next_path',
+        'revision',
+        'status',
+    )
 
     def __init__(
         self,
@@ -81,8 +102,14 @@
         items: Iterable[_item.Item] = (),
         revision: revisions.Revision = revisions.ZERO,
         is_truncated: bool = False,
+        first_path: str = '',
+        last_path: str = '',
+        next_path: str = '',
     ) -> None:
         self.status = status
         self.items = tuple(items)
         self.revision = revision
         self.is_truncated = is_truncated
+        self.first_path = first_path
+        self.last_path = last_path
+        self.next_path = next_path
--- a/skylarkfold/relay/_store_reader.py
+++ b/skylarkfold/relay/_store_reader.py
@@ -8,6 +8,8 @@
 from skylarkfold.relay import _store_call
 from skylarkfold import revision as revisions
 
+_NEVER = float('-inf')
+
 
 class StoreUpdate:
     """Objects that were read from the store.
@@ -16,7 +18,8 @@
     :param revision: the position of the topic once they are applied.
     :param is_listing: whether they are all objects, so that absent ones are
         deleted.
-    :param confirmed_at: when the store had this revision.
+    :param confirmed_at: when the store had this revision, with no change
+        after it; negative infinity if there are further changes.
     :param proved_at: the same, at the earliest.
     """
 
@@ -61,6 +64,7 @@
         '_backoff',
         '_held_until',
         '_is_calling',
+        '_is_cautious',
         '_is_cancelled',
         '_is_store_stale',
         '_is_watch',
@@ -70,6 +74,7 @@
         '_listing_revision',
         '_needs_listing',
         '_next_call_at',
+        '_next_path',
         '_settings',
         '_topic',
         'answered_at',
@@ -90,22 +95,26 @@
             settings.most_backoff_seconds,
             jitter,
         )
-        self.answered_at = float('-inf')
-        self.called_at = float('-inf')
+        self.answered_at = _NEVER
+        self.called_at = _NEVER
         self.was_held = False
         # Until when the store may hold the watch under way.
-        self._held_until = float('-inf')
+        self._held_until = _NEVER
         self._is_watch = False
         self._is_cancelled = False
         self._is_store_stale = False
         self._is_calling = False
         self._needs_listing = False
-        self._next_call_at = float('-inf')
+        self._next_call_at = _NEVER
         self._listed_items: list[_item.Item] = []
         self._listing_revision = revisions.ZERO
         # When the first page of the listing under way was requested.
-        self._listed_at = float('-inf')
+        self._listed_at = _NEVER
         self._last_path = ''
+        # The path with which the next page must begin; empty if unknown.
+        self._next_path = ''
+        # Whether parts of a damaged object were taken for objects before.
+        self._is_cautious = False
 
     @property
     def is_calling(self) -> bool:
@@ -168,6 +177,7 @@
                 0.0,
                 settings.call_timeout_seconds,
                 position.era,
+                self._is_cautious,
             )
         # A peer's page may have made further pages of a listing needless.
         self._reset_listing()
@@ -204,6 +214,9 @@
                     # The store answers again, so earlier failures no longer
                     # lengthen the pause.
                     self._backoff.record_success()
+            elif answer.status == _store_call.Status.MALFORMED:
+                # The same call would get the same answer.
+                self._needs_listing = call.revision is not None
             self._reset_listing()
             self._backoff.record_failure(now)
             return None
@@ -225,6 +238,11 @@
             self._backoff.record_failure(now)
             return None
         self._backoff.record_success()
+        if answer.is_truncated:
+            # Further changes are known to exist, so nothing is confirmed.
+            return StoreUpdate(
+                answer.items, answer.revision, False, _NEVER, _NEVER
+            )
         waited = now - self.called_at
         if answer.items:
             self._next_call_at = now + self._settings.gather_seconds
@@ -252,10 +270,16 @@
             self._reset_listing()
             self._backoff.record_failure(now)
             return None
+        if self._next_path and answer.first_path != self._next_path:
+            self._reset_listing()
+            self._is_cautious = True
+            return None
         self._listed_items += answer.items
-        if answer.is_truncated and answer.items:
-            self._last_path = answer.items[-1].path
+        if answer.is_truncated and (answer.last_path or answer.items):
+            self._last_path = answer.last_path or answer.items[-1].path
+            self._next_path = answer.next_path
             return None
+        self._is_cautious = False
         update = StoreUpdate(
             tuple(self._listed_items),
             self._listing_revision,
@@ -295,3 +319,4 @@
     def _reset_listing(self) -> None:
         self._listed_items = []
         self._last_path = ''
+        self._next_path = ''
--- a/skylarkfold/standin/packets/_objects.py
+++ b/skylarkfold/standin/packets/_objects.py
@@ -39,7 +39,8 @@
 
         :param kind: its kind.
         :param name: its name.
-        :param spec: what it holds.
+        :param spec: what it holds; bytes are sent as they are, also where
+            they aren't valid JSON.
         """
         objects = self._objects.setdefault(kind, {})
         known = objects.get(name)
--- a/skylarkfold/standin/packets/_server.py
+++ b/skylarkfold/standin/packets/_server.py
@@ -19,6 +19,8 @@
 RESET = 'reset'
 MANY = 'many'
 _STATUSES = {BUSY: 503, MANY: 429}
+# Marks the place of a value that is sent as it was written.
+_RAW_MARK = '~raw~'
 
 
 class StoreServer:
@@ -127,10 +129,25 @@
         )
 
     def _answer(self, status: int, body: object) -> None:
-        data = json.dumps(body).encode()
+        data = _encode(body)
         head = (
             f'HTTP/1.1 {status} Answer\r\nContent-Type: application/json\r\n'
             f'Store-Era: {self._server.store.era}\r\n'
             f'Content-Length: {len(data)}\r\n\r\n'
         )
         self._stream.write(head.encode() + data)
+
+
+def _encode(body: object) -> bytes:
+    """Encode a body as JSON, in which values of bytes are put as they are."""
+    values: list[bytes] = []
+
+    def mark(value: bytes) -> str:
+        values.append(value)
+        return _RAW_MARK
+
+    text, *rest = json.dumps(body, default=mark).split(f'"{_RAW_MARK}"')
+    parts = [text.encode()]
+    for value, text in zip(values, rest, strict=True):
+        parts += (value, text.encode())
+    return b''.join(parts)
--- a/skylarkfold/tests/platform/test_processes.py
+++ b/skylarkfold/tests/platform/test_processes.py
@@ -16,6 +16,13 @@
 
 # Limits a run that hangs.
 LONGEST_SECONDS = 60.0
+# Entries of another writer that aren't valid JSON.
+DAMAGED = {
+    'i-0': b'{"note":"\x00\x01"}',
+    'i-1': b'{"note":{"a":1}',
+    'i-2': rb'{"note":"\q"}',
+    'z-1': b'\x9f\xff',
+}
 
 
 class ProcessesTest(testtools.TestCase):
@@ -95,6 +102,25 @@
         self.assertNotIn(drained, others)
         self.assertEqual(packets.ANSWERED, self.ask(flow).outcome)
 
+    def test_instances_start_and_drain_beside_damaged_entries(self):
+        """Guards against one entry that ends all news of upstreams."""
+        self.wait_for_rotation()
+        for name, value in DAMAGED.items():
+            self.world.store.put('servers', name, value)
+        starting = self.world.instances[:2]
+        before = [len(each.read_log()) for each in starting]
+        self.world.kill_all()
+        self.run_until(
+            lambda: all(
+                '"ready"' in each.read_log()[length:]
+                for each, length in zip(starting, before, strict=True)
+            )
+        )
+        self.wait_for_rotation()
+        self.test_draining_upstream_keeps_flows_and_gets_no_new_ones()
+        for each in starting:
+            self.assertIn('"kind":"damaged"', each.read_log())
+
     def _open_once(self):
         flow = self.open()
         self.assertEqual(packets.ANSWERED, self.ask(flow).outcome)
