Store: an answer that is too large is followed by a listing

Cause: the answer to the watch held 25 versions of 0.4 MB. An answer above 8 MB counted as none, and the same watch was made again until the store had dropped the history.

Change: such an answer has a status of its own, as has a response that is no HTTP, and a listing follows. A response whose stated size is above the limit is refused unread.

--- a/skylarkfold/platform/_store.py
+++ b/skylarkfold/platform/_store.py
@@ -24,6 +24,10 @@
 _ERA_HEADER = 'store-era'
 # Statuses by which the store refuses a request without handling it.
 _REFUSALS = (429, 503)
+_STATUSES = {
+    reactor.Failure.MALFORMED: relay.Status.MALFORMED,
+    reactor.Failure.TOO_LARGE: relay.Status.TOO_LARGE,
+}
 
 
 class StoreClient:
@@ -128,6 +132,8 @@
     reply: reactor.Reply,
     input_errors: _input_errors.InputErrors,
 ) -> relay.Answer:
+    if reply.failure in _STATUSES:
+        return relay.Answer(_STATUSES[reply.failure])
     try:
         era = _read_era(call, reply)
     except errors.DecodeError as error:
--- a/skylarkfold/reactor/__init__.py
+++ b/skylarkfold/reactor/__init__.py
@@ -5,6 +5,7 @@
 almost half a second (``skylarkfold measure start``).
 """
 
+from skylarkfold.reactor._http import Failure
 from skylarkfold.reactor._http import HttpClient
 from skylarkfold.reactor._http import HttpServer
 from skylarkfold.reactor._http import Reply
@@ -19,6 +20,7 @@
 __all__ = [
     'READ',
     'WRITE',
+    'Failure',
     'HttpClient',
     'HttpServer',
     'Listener',
--- a/skylarkfold/reactor/_http.py
+++ b/skylarkfold/reactor/_http.py
@@ -23,6 +23,7 @@
 
 # The status of a reply that stands for a failed request.
 _NO_REPLY = 0
+_CONTENT_LENGTH = 'content-length'
 # Further headers of a response are ignored.
 _MAX_HEADERS = 64
 _REASONS = {200: 'OK', 404: 'Not Found', 503: 'Service Unavailable'}
@@ -30,25 +31,40 @@
 _logger = deferred_log.LOGGER
 
 
+class Failure:
+    """Why there is no reply to a request."""
+
+    NONE = ''
+    # Nothing usable arrived: no connection, or it was closed or timed out.
+    NO_REPLY = 'no-reply'
+    # The response isn't valid HTTP.
+    MALFORMED = 'malformed'
+    # The body is larger than MAXIMUM_BODY_BYTES.
+    TOO_LARGE = 'too-large'
+
+
 class Reply:
     """The reply to a request.
 
     :param status: the HTTP status; 0 if the request failed.
     :param headers: header values by lower-case name.
     :param body: the body.
+    :param failure: why the request failed, one of :class:`Failure`.
     """
 
-    __slots__ = ('body', 'headers', 'status')
+    __slots__ = ('body', 'failure', 'headers', 'status')
 
     def __init__(
         self,
         status: int,
         headers: dict[str, str] | None = None,
         body: bytes = b'',
+        failure: str = Failure.NONE,
     ) -> None:
         self.status = status
         self.headers = headers or {}
         self.body = body
+        self.failure = failure
 
 
 ReplyCallback = Callable[[Reply], object]
@@ -138,7 +154,7 @@
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.abandon()
-        self._end_request(Reply(_NO_REPLY))
+        self._end_request(_build_failure(Failure.NO_REPLY))
 
     def _handle_timeout(self) -> None:
         self._timer = None
@@ -184,7 +200,7 @@
         self._size = 0
         self._parser = light_imports.http_parser.HttpResponseParser(self)
         stream.on_data = self._handle_data
-        stream.on_close = self._fail
+        stream.on_close = self._handle_close
 
     def write(self, data: bytes) -> None:
         self._stream.write(data)
@@ -199,10 +215,13 @@
             self._parser.feed_data(data)
         except light_imports.http_parser.HttpParserError as error:
             _logger.warning('malformed HTTP response: %s', error)
-            self._fail('no HTTP')
+            self._fail(Failure.MALFORMED)
 
-    def _fail(self, _reason: str) -> None:
-        self._handle_reply(Reply(_NO_REPLY), True)
+    def _handle_close(self, _reason: str) -> None:
+        self._fail(Failure.NO_REPLY)
+
+    def _fail(self, failure: str) -> None:
+        self._handle_reply(_build_failure(failure), True)
 
     def on_message_begin(self) -> None:
         """Reset the state for a new response; called by the parser."""
@@ -214,17 +233,23 @@
             key = name.decode('latin-1').lower()
             self._headers[key] = value.decode('latin-1')
 
+    def on_headers_complete(self) -> None:
+        """Refuse a response that is too large; called by the parser."""
+        length = self._headers.get(_CONTENT_LENGTH, '')
+        if length.isdecimal() and int(length) > MAXIMUM_BODY_BYTES:
+            self._fail(Failure.TOO_LARGE)
+
     def on_body(self, part: bytes) -> None:
         """Store a part of the body; called by the parser."""
         self._size += len(part)
-        if self._size <= MAXIMUM_BODY_BYTES:
-            self._body.append(part)
+        if self._size > MAXIMUM_BODY_BYTES:
+            self._body.clear()
+            self._fail(Failure.TOO_LARGE)
+            return
+        self._body.append(part)
 
     def on_message_complete(self) -> None:
         """Pass the complete response on; called by the parser."""
-        if self._size > MAXIMUM_BODY_BYTES:
-            self._fail('too large')
-            return
         is_last = not self._parser.should_keep_alive()
         status = self._parser.get_status_code()
         reply = Reply(status, self._headers, b''.join(self._body))
@@ -323,5 +348,9 @@
         self._stream.finish()
 
 
+def _build_failure(failure: str) -> Reply:
+    return Reply(_NO_REPLY, failure=failure)
+
+
 def _ignore_reply(_reply: Reply, _is_last: bool) -> None:
     """Discard a reply on an abandoned connection."""
--- a/skylarkfold/relay/__init__.py
+++ b/skylarkfold/relay/__init__.py
@@ -39,6 +39,7 @@
 from skylarkfold.relay._store_call import Answer
 from skylarkfold.relay._store_call import Call
 from skylarkfold.relay._store_call import Status
+from skylarkfold.relay._store_call import UNUSABLE_STATUSES
 
 __all__ = [
     'Announcer',
@@ -64,6 +65,7 @@
     'RetentionPolicy',
     'SendBeacon',
     'Status',
+    'UNUSABLE_STATUSES',
     'TopicChanged',
     'TopicDelta',
     'UnreachableReported',
--- a/skylarkfold/relay/_store_call.py
+++ b/skylarkfold/relay/_store_call.py
@@ -65,10 +65,16 @@
     UNKNOWN = 'unknown'
     # The answer can't be decoded.
     MALFORMED = 'malformed'
+    # The answer is larger than this instance accepts.
+    TOO_LARGE = 'too-large'
     # The call was cancelled by this instance.
     ABANDONED = 'abandoned'
 
 
+# The store has answered, but the same call would fail in the same way.
+UNUSABLE_STATUSES = (Status.MALFORMED, Status.TOO_LARGE)
+
+
 class Answer:
     """The store's answer to a call.
 
--- a/skylarkfold/relay/_store_reader.py
+++ b/skylarkfold/relay/_store_reader.py
@@ -214,8 +214,8 @@
                     # The store answers again, so earlier failures no longer
                     # lengthen the pause.
                     self._backoff.record_success()
-            elif answer.status == _store_call.Status.MALFORMED:
-                # The same call would get the same answer.
+            elif answer.status in _store_call.UNUSABLE_STATUSES:
+                # A listing doesn't grow with the number of changes.
                 self._needs_listing = call.revision is not None
             self._reset_listing()
             self._backoff.record_failure(now)
--- a/skylarkfold/tests/reactor/test_http.py
+++ b/skylarkfold/tests/reactor/test_http.py
@@ -3,10 +3,12 @@
 import testtools
 
 from skylarkfold import reactor
+from skylarkfold.reactor import _http
 
 # Longer than any test.
 LONG_SECONDS = 600.0
 GIVE_UP_SECONDS = 20.0
+PART_BYTES = 1 << 20
 
 
 class HttpTest(testtools.TestCase):
@@ -88,6 +90,67 @@
         self.addCleanup(client.close)
         self.assertEqual((0, b''), self.send_request(client))
 
+    def test_a_large_response_is_refused_before_it_is_read(self):
+        # Guards against reading 8 MB and more for nothing, again and again.
+        client = self.build_client(LONG_SECONDS)
+        size = _http.MAXIMUM_BODY_BYTES + 1
+        self.response = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % size
+        self.assertEqual(
+            reactor.Failure.TOO_LARGE, self.request_failure(client)
+        )
+        self.response = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+        self.assertEqual((200, b'ok'), self.send_request(client))
+
+    def test_a_response_of_unknown_size_is_read_up_to_the_limit(self):
+        client = self.build_client(LONG_SECONDS)
+        self.response = (
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        )
+        part = b'%x\r\n%s\r\n' % (PART_BYTES, b'x' * PART_BYTES)
+        sent = []
+
+        def send_part():
+            for stream in self.streams:
+                if not stream.is_closed:
+                    stream.write(part)
+                    sent.append(PART_BYTES)
+                    self.loop.call_later(0.005, send_part)
+
+        self.loop.call_later(0.1, send_part)
+        self.assertEqual(
+            reactor.Failure.TOO_LARGE, self.request_failure(client)
+        )
+        self.assertLess(sum(sent), _http.MAXIMUM_BODY_BYTES + 8 * PART_BYTES)
+
+    def request_failure(self, client):
+        """Send a request and return why it fails."""
+        failures = []
+
+        def on_reply(reply):
+            failures.append(reply.failure)
+            self.loop.stop()
+
+        client.request('GET', '/', b'', GIVE_UP_SECONDS, on_reply)
+        self.loop.run()
+        (failure,) = failures
+        return failure
+
+    def test_a_response_that_is_no_http_is_told_from_no_response(self):
+        client = self.build_client(LONG_SECONDS)
+        replies = []
+
+        def on_reply(reply):
+            replies.append(reply.failure)
+            self.loop.stop()
+
+        for response in (b'nonsense\r\n\r\n', b''):
+            self.response = response
+            client.request('GET', '/', b'', 0.2, on_reply)
+            self.loop.run()
+        self.assertEqual(
+            [reactor.Failure.MALFORMED, reactor.Failure.NO_REPLY], replies
+        )
+
     def test_server_handles_the_path(self):
         server = reactor.HttpServer(
             self.loop, ('127.0.0.1', 0), lambda path: (200, path.encode())
