Store: a page that keeps arriving isn't asked for again

A watch whose answer doesn't arrive in time was made again in the same way.

Change: a listing that keeps arriving has 10 s more, each second of which has to bring a part of it. A watch doesn't, since its age counts from its answer; it ends as 'incomplete' and a listing follows.

No run with real processes on a slow link was made.

--- a/skylarkfold/platform/_store.py
+++ b/skylarkfold/platform/_store.py
@@ -24,9 +24,12 @@
 _ERA_HEADER = 'store-era'
 # Statuses by which the store refuses a request without handling it.
 _REFUSALS = (429, 503)
+# The longest transfer of a page, on a link of 1 Mbit/s.
+_TRANSFER_SECONDS = 10.0
 _STATUSES = {
     reactor.Failure.MALFORMED: relay.Status.MALFORMED,
     reactor.Failure.TOO_LARGE: relay.Status.TOO_LARGE,
+    reactor.Failure.INCOMPLETE: relay.Status.INCOMPLETE,
 }
 
 
@@ -77,6 +80,9 @@
             b'',
             call.timeout_seconds,
             lambda reply: on_answer(self._decode(call, reply)),
+            # The age of a listing counts from its call, that of a watch from
+            # its answer.
+            _TRANSFER_SECONDS if call.revision is None else 0.0,
         )
 
     def _decode(self, call: relay.Call, reply: reactor.Reply) -> relay.Answer:
--- a/skylarkfold/reactor/_http.py
+++ b/skylarkfold/reactor/_http.py
@@ -41,6 +41,8 @@
     MALFORMED = 'malformed'
     # The body is larger than MAXIMUM_BODY_BYTES.
     TOO_LARGE = 'too-large'
+    # The response began, but did not arrive within the time allowed.
+    INCOMPLETE = 'incomplete'
 
 
 class Reply:
@@ -85,10 +87,12 @@
     __slots__ = (
         '_address',
         '_connection',
+        '_ends_at',
         '_host',
         '_idle_seconds',
         '_loop',
         '_on_reply',
+        '_timeout_seconds',
         '_timer',
         '_used_at',
     )
@@ -107,6 +111,9 @@
         self._connection: _Connection | None = None
         self._on_reply: ReplyCallback | None = None
         self._timer: _loop.Timer | None = None
+        self._timeout_seconds = 0.0
+        # When a reply that keeps arriving times out.
+        self._ends_at = float('-inf')
 
     @property
     def is_busy(self) -> bool:
@@ -120,6 +127,7 @@
         body: bytes,
         timeout_seconds: float,
         on_reply: ReplyCallback,
+        transfer_seconds: float = 0.0,
     ) -> None:
         """Send a request.
 
@@ -130,6 +138,8 @@
             connection is closed, since a late reply would be taken for the
             next request's.
         :param on_reply: always called, with the reply.
+        :param transfer_seconds: how much longer a reply may take that keeps
+            arriving: a part of it in each period of the timeout.
         :raises RuntimeError: if a request is pending.
         """
         if self.is_busy:
@@ -137,6 +147,8 @@
         if self._loop.now() - self._used_at >= self._idle_seconds:
             self.close()
         self._on_reply = on_reply
+        self._timeout_seconds = timeout_seconds
+        self._ends_at = self._loop.now() + timeout_seconds + transfer_seconds
         self._timer = self._loop.call_later(
             timeout_seconds, self._handle_timeout
         )
@@ -151,14 +163,39 @@
 
     def close(self) -> None:
         """Close the connection; a pending request fails."""
+        self._disconnect()
+        self._end_request(_build_failure(Failure.NO_REPLY))
+
+    def _disconnect(self) -> None:
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.abandon()
-        self._end_request(_build_failure(Failure.NO_REPLY))
 
     def _handle_timeout(self) -> None:
         self._timer = None
-        self.close()
+        connection = self._connection
+        failure = Failure.NO_REPLY
+        if connection is not None and connection.has_begun:
+            seconds = self._compute_extension(connection.take_size())
+            if seconds:
+                self._timer = self._loop.call_later(
+                    seconds, self._handle_timeout
+                )
+                return
+            failure = Failure.INCOMPLETE
+        self._disconnect()
+        self._end_request(_build_failure(failure))
+
+    def _compute_extension(self, received_bytes: int) -> float:
+        """Return the further time for a response that is arriving.
+
+        :param received_bytes: how much of it arrived since the last time.
+        :returns: the time in seconds; 0 if it is over.
+        """
+        if not received_bytes:
+            return 0.0
+        remaining = self._ends_at - self._loop.now()
+        return max(0.0, min(remaining, self._timeout_seconds))
 
     def _handle_reply(self, reply: Reply, is_last: bool) -> None:
         if is_last:
@@ -177,7 +214,10 @@
 
 
 class _Connection:
-    """A client's connection with its response parser."""
+    """A client's connection with its response parser.
+
+    :ivar has_begun: whether a part of a response has arrived, but not all.
+    """
 
     __slots__ = (
         '_body',
@@ -186,6 +226,8 @@
         '_parser',
         '_size',
         '_stream',
+        '_taken_size',
+        'has_begun',
     )
 
     def __init__(
@@ -198,6 +240,8 @@
         self._body: list[bytes] = []
         self._headers: dict[str, str] = {}
         self._size = 0
+        self._taken_size = 0
+        self.has_begun = False
         self._parser = light_imports.http_parser.HttpResponseParser(self)
         stream.on_data = self._handle_data
         stream.on_close = self._handle_close
@@ -205,6 +249,14 @@
     def write(self, data: bytes) -> None:
         self._stream.write(data)
 
+    def take_size(self) -> int:
+        """Return how much of a body has arrived since the last call.
+
+        :returns: the size in bytes.
+        """
+        size, self._taken_size = self._size - self._taken_size, self._size
+        return size
+
     def abandon(self) -> None:
         """Close the connection and discard further data."""
         self._handle_reply = _ignore_reply
@@ -226,6 +278,8 @@
     def on_message_begin(self) -> None:
         """Reset the state for a new response; called by the parser."""
         self._body, self._headers, self._size = [], {}, 0
+        self._taken_size = 0
+        self.has_begun = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; called by the parser."""
@@ -250,6 +304,7 @@
 
     def on_message_complete(self) -> None:
         """Pass the complete response on; called by the parser."""
+        self.has_begun = False
         is_last = not self._parser.should_keep_alive()
         status = self._parser.get_status_code()
         reply = Reply(status, self._headers, b''.join(self._body))
--- a/skylarkfold/relay/_store_call.py
+++ b/skylarkfold/relay/_store_call.py
@@ -67,12 +67,14 @@
     MALFORMED = 'malformed'
     # The answer is larger than this instance accepts.
     TOO_LARGE = 'too-large'
+    # The answer began, but did not arrive within its timeout.
+    INCOMPLETE = 'incomplete'
     # The call was cancelled by this instance.
     ABANDONED = 'abandoned'
 
 
 # The store has answered, but the same call would fail in the same way.
-UNUSABLE_STATUSES = (Status.MALFORMED, Status.TOO_LARGE)
+UNUSABLE_STATUSES = (Status.MALFORMED, Status.TOO_LARGE, Status.INCOMPLETE)
 
 
 class Answer:
--- a/skylarkfold/tests/reactor/test_http.py
+++ b/skylarkfold/tests/reactor/test_http.py
@@ -122,7 +122,49 @@
         )
         self.assertLess(sum(sent), _http.MAXIMUM_BODY_BYTES + 8 * PART_BYTES)
 
-    def request_failure(self, client):
+    def send_in_parts(self, pause_seconds):
+        """Send a response of six bytes with a pause after each."""
+        self.response = b'HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n'
+
+        def send_part(left):
+            for stream in self.streams:
+                stream.write(b'x')
+            if left > 1:
+                self.loop.call_later(
+                    pause_seconds, lambda: send_part(left - 1)
+                )
+
+        self.loop.call_later(pause_seconds, lambda: send_part(6))
+
+    def test_a_response_that_keeps_arriving_may_take_longer(self):
+        # Guards against asking again for a page that a slow link can't
+        # carry within the timeout.
+        client = self.build_client(LONG_SECONDS)
+        self.send_in_parts(0.5)
+        self.assertEqual(
+            '', self.request_failure(client, 2.0, transfer_seconds=60.0)
+        )
+
+    def test_a_response_that_stops_arriving_is_incomplete(self):
+        client = self.build_client(LONG_SECONDS)
+        self.response = b'HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nx'
+        for seconds in (0.0, 60.0):
+            self.assertEqual(
+                reactor.Failure.INCOMPLETE,
+                self.request_failure(client, 1.0, transfer_seconds=seconds),
+            )
+
+    def test_the_time_for_a_response_that_keeps_arriving_is_bounded(self):
+        client = self.build_client(LONG_SECONDS)
+        self.send_in_parts(0.9)
+        self.assertEqual(
+            reactor.Failure.INCOMPLETE,
+            self.request_failure(client, 1.0, transfer_seconds=1.0),
+        )
+
+    def request_failure(
+        self, client, timeout_seconds=GIVE_UP_SECONDS, **details
+    ):
         """Send a request and return why it fails."""
         failures = []
 
@@ -130,7 +172,7 @@
             failures.append(reply.failure)
             self.loop.stop()
 
-        client.request('GET', '/', b'', GIVE_UP_SECONDS, on_reply)
+        client.request('GET', '/', b'', timeout_seconds, on_reply, **details)
         self.loop.run()
         (failure,) = failures
         return failure
