Store: the era is read beside any number of other headers

Found by reading: a client kept the first 64 headers of a response and dropped the others without a word. With the header of the era among the dropped ones an answer counted as one of the era known before, so that revisions of a restored store would be compared as if nothing had been restored.

A client now keeps the headers that its user names, and no other, so that no limit is needed. reactor/test_http: 200 headers before the era; the client before has no such names and loses it.

--- a/skylarkfold/platform/_store.py
+++ b/skylarkfold/platform/_store.py
@@ -72,7 +72,9 @@
         """
         connection = self._connections.get(call.topic)
         if connection is None:
-            connection = reactor.HttpClient(self._loop, self._address)
+            connection = reactor.HttpClient(
+                self._loop, self._address, headers=(_ERA_HEADER,)
+            )
             self._connections[call.topic] = connection
         connection.request(
             'GET',
--- a/skylarkfold/reactor/_http.py
+++ b/skylarkfold/reactor/_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from skylarkfold import deferred_log
 from skylarkfold import light_imports
@@ -24,8 +25,6 @@
 # The status of a reply that stands for a failed request.
 _NO_REPLY = 0
 _CONTENT_LENGTH = 'content-length'
-# Further headers of a response are ignored.
-_MAX_HEADERS = 64
 _REASONS = {200: 'OK', 404: 'Not Found', 503: 'Service Unavailable'}
 
 _logger = deferred_log.LOGGER
@@ -82,12 +81,14 @@
     :param address: the server's host and port.
     :param idle_seconds: a connection that was not used for this long is
         closed and opened again.
+    :param headers: lower-case names of the headers that replies include.
     """
 
     __slots__ = (
         '_address',
         '_connection',
         '_ends_at',
+        '_headers',
         '_host',
         '_idle_seconds',
         '_loop',
@@ -102,10 +103,12 @@
         loop: _loop.Loop,
         address: tuple[str, int],
         idle_seconds: float = _IDLE_SECONDS,
+        headers: Iterable[str] = (),
     ) -> None:
         self._loop = loop
         self._address = address
         self._idle_seconds = idle_seconds
+        self._headers = frozenset((*headers, _CONTENT_LENGTH))
         self._used_at = loop.now()
         self._host = f'{address[0]}:{address[1]}'
         self._connection: _Connection | None = None
@@ -154,7 +157,9 @@
         )
         if self._connection is None:
             stream = _stream.connect(self._loop, self._address)
-            self._connection = _Connection(stream, self._handle_reply)
+            self._connection = _Connection(
+                stream, self._headers, self._handle_reply
+            )
         head = f'{method} {path} HTTP/1.1\r\nHost: {self._host}\r\n'
         if body:
             head += 'Content-Type: application/json\r\n'
@@ -223,6 +228,7 @@
         '_body',
         '_handle_reply',
         '_headers',
+        '_kept_headers',
         '_parser',
         '_size',
         '_stream',
@@ -233,9 +239,11 @@
     def __init__(
         self,
         stream: _stream.Stream,
+        kept_headers: frozenset[str],
         handle_answer: Callable[[Reply, bool], object],
     ) -> None:
         self._stream = stream
+        self._kept_headers = kept_headers
         self._handle_reply = handle_answer
         self._body: list[bytes] = []
         self._headers: dict[str, str] = {}
@@ -282,9 +290,9 @@
         self.has_begun = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; called by the parser."""
-        if len(self._headers) < _MAX_HEADERS:
-            key = name.decode('latin-1').lower()
+        """Store a header that is kept; called by the parser."""
+        key = name.decode('latin-1').lower()
+        if key in self._kept_headers:
             self._headers[key] = value.decode('latin-1')
 
     def on_headers_complete(self) -> None:
--- a/skylarkfold/tests/reactor/test_http.py
+++ b/skylarkfold/tests/reactor/test_http.py
@@ -193,6 +193,29 @@
             [reactor.Failure.MALFORMED, reactor.Failure.NO_REPLY], replies
         )
 
+    def test_a_wanted_header_is_kept_beside_any_number_of_others(self):
+        # Guards against an era of the store that is lost among headers.
+        client = reactor.HttpClient(
+            self.loop, self.listener.address, LONG_SECONDS, ('store-era',)
+        )
+        self.addCleanup(client.close)
+        others = b''.join(b'X-%d: 1\r\n' % number for number in range(200))
+        self.response = (
+            b'HTTP/1.1 200 OK\r\n%sStore-Era: 3\r\nContent-Length: 0\r\n\r\n'
+            % others
+        )
+        replies = []
+
+        def on_reply(reply):
+            replies.append(reply.headers)
+            self.loop.stop()
+
+        client.request('GET', '/', b'', GIVE_UP_SECONDS, on_reply)
+        self.loop.run()
+        (headers,) = replies
+        self.assertEqual('3', headers['store-era'])
+        self.assertNotIn('x-1', headers)
+
     def test_server_handles_the_path(self):
         server = reactor.HttpServer(
             self.loop, ('127.0.0.1', 0), lambda path: (200, path.encode())
