Store: a write between two pages doesn't make a listing slow

By reading the change before: a page that doesn't begin with the damaged object that ended the one before made the rest of the listing take one object a call. A new entry between the two calls has the same effect as a forged object, at 3,800 entries 3,800 calls. Only the third such listing in a row is read so now.

platform/test_damaged_entries: 201 entries and a write between two pages take fewer than 10 calls.

--- a/skylarkfold/relay/_store_reader.py
+++ b/skylarkfold/relay/_store_reader.py
@@ -9,6 +9,10 @@
 from skylarkfold import revision as revisions
 
 _NEVER = float('-inf')
+# So many listings in a row with pages that don't fit together show that parts
+# of a damaged object were taken for objects. One may be due to a write between
+# two pages.
+_MAX_MISMATCHES = 2
 
 
 class StoreUpdate:
@@ -64,7 +68,6 @@
         '_backoff',
         '_held_until',
         '_is_calling',
-        '_is_cautious',
         '_is_cancelled',
         '_is_store_stale',
         '_is_watch',
@@ -72,6 +75,7 @@
         '_listed_at',
         '_listed_items',
         '_listing_revision',
+        '_mismatches',
         '_needs_listing',
         '_next_call_at',
         '_next_path',
@@ -113,8 +117,8 @@
         self._last_path = ''
         # The path with which the next page must begin; empty if unknown.
         self._next_path = ''
-        # Whether parts of a damaged object were taken for objects before.
-        self._is_cautious = False
+        # Listings in a row with a page that didn't begin as it had to.
+        self._mismatches = 0
 
     @property
     def is_calling(self) -> bool:
@@ -177,7 +181,7 @@
                 0.0,
                 settings.call_timeout_seconds,
                 position.era,
-                self._is_cautious,
+                self._mismatches >= _MAX_MISMATCHES,
             )
         # A peer's page may have made further pages of a listing needless.
         self._reset_listing()
@@ -272,14 +276,14 @@
             return None
         if self._next_path and answer.first_path != self._next_path:
             self._reset_listing()
-            self._is_cautious = True
+            self._mismatches += 1
             return None
         self._listed_items += answer.items
         if answer.is_truncated and (answer.last_path or answer.items):
             self._last_path = answer.last_path or answer.items[-1].path
             self._next_path = answer.next_path
             return None
-        self._is_cautious = False
+        self._mismatches = 0
         update = StoreUpdate(
             tuple(self._listed_items),
             self._listing_revision,
--- a/skylarkfold/tests/platform/test_damaged_entries.py
+++ b/skylarkfold/tests/platform/test_damaged_entries.py
@@ -212,6 +212,25 @@
         self.assertEqual(501, len(replica.list_items()))
         self.assertLess(self.store.calls, 6)
 
+    def test_a_write_between_two_pages_costs_one_listing(self):
+        # Guards against reading one object per call after such a write.
+        for number in range(200):
+            self.store.put(f'i-{number + 1:08x}', ENTRY)
+        self.store.put('i-00000080x', b'{"note":"')
+        replica = raw_store.Replica(self.store)
+        list_page = self.store.list
+
+        def write_after_first_page(after):
+            body = list_page(after)
+            if not after and 'i-00000080w' not in body.decode():
+                self.store.put('i-00000080w', ENTRY)
+            return body
+
+        self.store.list = write_after_first_page
+        replica.run(READ_SECONDS)
+        self.assertEqual(202, len(replica.list_items()))
+        self.assertLess(self.store.calls, 10)
+
     def test_an_entry_that_is_rewritten_costs_two_calls_per_write_at_most(
         self,
     ):
