--- a/skylarkfold/soak/__main__.py
+++ b/skylarkfold/soak/__main__.py
@@ -29,6 +29,7 @@
     returns: bool = True,
     presses: bool = True,
     routes: bool = True,
+    damage: bool = True,
     instances: int = soak.INSTANCES,
     keep: str = '',
 ) -> None:
@@ -47,6 +48,7 @@
         and drop packets.
     :param routes: also add and drop used routes while instances are
         restarted.
+    :param damage: also write store entries that are not valid JSON.
     :param instances: the number of instances, spread over three zones.
     :param keep: the folder for settings and logs; a temporary one if empty.
     """
@@ -69,6 +71,7 @@
                 returns,
                 presses,
                 routes,
+                damage,
                 instances,
             )
         word = 'broken' if result.broken else 'held'
--- a/skylarkfold/soak/_plan.py
+++ b/skylarkfold/soak/_plan.py
@@ -63,6 +63,12 @@
 # turn, so that open flows of these routes move to instances that have started.
 ROUTE_CHANGES = ('routes-beside-restarts',)
 
+# Store entries that are not valid JSON; the second kind ends all instances
+# while such entries stand.
+DAMAGE = ('entries-damaged', 'start-beside-damage')
+# Kinds with generators of their own that are unplanned faults, too.
+ENDINGS = ('start-beside-damage',)
+
 
 class Step:
     """Fault or operation of a plan.
@@ -176,6 +182,22 @@
     )
 
 
+def draw_damage(seed: int, seconds: float) -> list[Step]:
+    """Draw store entries that are not valid JSON.
+
+    :param seed: the seed, which determines the steps.
+    :param seconds: the duration of the traffic.
+    :returns: the steps in order of time.
+    """
+    return _draw_steps(
+        random.Random(f'{seed}/damage'),
+        DAMAGE,
+        count_range=(1, 3),
+        start_range=(0.5, 0.6 * seconds),
+        duration_range=(0.5, 0.3 * seconds),
+    )
+
+
 def draw_plan(seed: int, seconds: float, planned_only: bool) -> list[Step]:
     """Draw the planned operations and faults of a plan.
 
--- a/skylarkfold/soak/_plan_executor.py
+++ b/skylarkfold/soak/_plan_executor.py
@@ -29,6 +29,15 @@
     {'born': 'now'},
     {'service': ['desk']},
 )
+# Parts of entries that are not valid JSON, and how many an entry has at most.
+_DAMAGED_PARTS = (
+    *(b'{', b'}', b'[', b']', b'"', b':', b',', b'\\', b'1', b'null'),
+    *(b'\x00', b'\x9f\xff', b'"state":"ready"', b'9' * 5000, b'[' * 2000),
+    *(b'},{"meta":{"name":"', b']', b',"current_rev":99}'),
+)
+_MAX_DAMAGED_PARTS = 6
+# Names before, between and after those of upstreams.
+_DAMAGED_NAMES = ('a-1', 'i-0003', 'z-1', 'z-2')
 # Extra sessions of the overloading caller at a share of 1, and how many times
 # the usual request rate each of them has.
 _OVERLOAD_SESSIONS = 30
@@ -92,6 +101,8 @@
                 step, step.seconds
             ),
             'entries-foreign': self._write_invalid_entries,
+            'entries-damaged': self._write_damaged_entries,
+            'start-beside-damage': self._start_beside_damage,
             'zone-evacuated': self._evacuate_zones,
             'evacuations-foreign': self._write_invalid_evacuations,
             'caller-presses': self._overload,
@@ -105,7 +116,7 @@
     def perform(self, step: _plan.Step) -> None:
         """Perform one step."""
         now = self._environment.loop.now()
-        if step.kind in _plan.UNPLANNED:
+        if step.kind in _plan.UNPLANNED + _plan.ENDINGS:
             self._environment.judge.note_fault(now, now + step.seconds)
         if step.kind in _plan.STORE_RESTORES:
             self._environment.judge.note_return(now, now + step.seconds)
@@ -285,6 +296,34 @@
             step.seconds + _FOREIGN_WRITE_SECONDS, delete_entries
         )
 
+    def _write_damaged_entries(self, step: _plan.Step) -> None:
+        """Rewrite entries that are not valid JSON, then delete them."""
+        store = self._environment.store
+        draw = self._environment.random
+
+        def write_entries() -> None:
+            for name in _DAMAGED_NAMES:
+                count = draw.randint(0, _MAX_DAMAGED_PARTS)
+                value = b''.join(draw.choices(_DAMAGED_PARTS, k=count))
+                store.put('servers', name, value)
+                store.put('evacuations', name, value)
+
+        def delete_entries() -> None:
+            for name in _DAMAGED_NAMES:
+                store.delete('servers', name)
+                store.delete('evacuations', name)
+
+        write_entries()
+        for number in range(1, int(step.seconds / _FOREIGN_WRITE_SECONDS)):
+            self._environment.loop.call_later(
+                number * _FOREIGN_WRITE_SECONDS, write_entries
+            )
+        self._environment.loop.call_later(step.seconds, delete_entries)
+
+    def _start_beside_damage(self, step: _plan.Step) -> None:
+        self._write_damaged_entries(step)
+        self._environment.kill_all()
+
     def _evacuate_zones(self, step: _plan.Step) -> None:
         for zone in self._sample(self._environment.zones, step.share):
             self._environment.evacuate(zone, step.seconds)
--- a/skylarkfold/soak/_run.py
+++ b/skylarkfold/soak/_run.py
@@ -56,6 +56,7 @@
     has_returns: bool = False,
     has_presses: bool = False,
     has_route_changes: bool = False,
+    has_damage: bool = False,
     instances: int = INSTANCES,
 ) -> Result:
     """Draw the plan of a seed and run it.
@@ -72,6 +73,8 @@
     :param has_presses: whether to overload instances and drop packets.
     :param has_route_changes: whether to add and drop used routes while
         instances are restarted.
+    :param has_damage: whether to write entries that are not valid JSON, also
+        before all instances start again.
     :param instances: the number of instances, spread over three zones.
     :returns: the result.
     """
@@ -86,6 +89,8 @@
         plan += _plan.draw_overloads(seed, seconds)
     if has_route_changes:
         plan += _plan.draw_route_changes(seed, seconds)
+    if has_damage:
+        plan += _plan.draw_damage(seed, seconds)
     return run_plan(plan, seed, folder, seconds, planned_only, instances)
 
 
--- a/skylarkfold/tests/soak/test_soak.py
+++ b/skylarkfold/tests/soak/test_soak.py
@@ -26,6 +26,7 @@
         has_returns=False,
         has_presses=False,
         has_route_changes=False,
+        has_damage=False,
     ):
         with tempfile.TemporaryDirectory() as scratch:
             result = soak.run_seed(
@@ -38,6 +39,7 @@
                 has_returns,
                 has_presses,
                 has_route_changes,
+                has_damage,
             )
         self.assertEqual([], result.broken, f'{result.plan}')
         self.assertGreater(result.outcomes['answered'], 0)
@@ -80,6 +82,26 @@
         # instance that has just started.
         self.run_seed(1, seconds=LATE_SECONDS, has_route_changes=True)
 
+    def test_damaged_entries_during_faults_violate_no_invariant(self):
+        self.run_seed(2, seconds=LATE_SECONDS, has_damage=True)
+
+    def test_damaged_entries_fail_no_request(self):
+        # Guards against flows to upstreams that drain beside such entries.
+        plan = [
+            _plan.Step(1.0, 'entries-damaged', 8.0, 1.0),
+            _plan.Step(2.0, 'drain', 0.0, 0.4),
+            _plan.Step(2.5, 'add-upstream', 0.0, 0.4),
+            _plan.Step(3.0, 'add-route', 0.0, 0.4),
+            _plan.Step(4.0, 'term', 0.0, 0.2),
+        ]
+        with tempfile.TemporaryDirectory() as scratch:
+            folder = pathlib.Path(scratch)
+            result = soak.run_plan(
+                plan, 4, folder, LATE_SECONDS, planned_only=True
+            )
+        self.assertEqual([], result.broken)
+        self.assertGreater(result.outcomes['answered'], 0)
+
     def test_overload_during_faults_violates_no_invariant(self):
         self.run_seed(6, seconds=LATE_SECONDS, has_presses=True)
 
@@ -158,3 +180,9 @@
             for step in _plan.draw_overloads(seed, 20.0)
         }
         self.assertEqual({*_plan.OVERLOADS}, drawn)
+        drawn = {
+            step.kind
+            for seed in range(20)
+            for step in _plan.draw_damage(seed, 20.0)
+        }
+        self.assertEqual({*_plan.DAMAGE}, drawn)
