Store: no object is left out after one without a name

- In a damaged page whose first object has no name the listing went on after the second object, which was left out and so counted as deleted.
Such a page is malformed now.
- A damaged answer of the other kind than the call (events to a listing) ended the process with a TypeError, and a page to a watch would have moved the position beyond objects that were not read.
Both are malformed now.

Two tests of platform/test_damaged_entries fail without the change: one with a page that is used, one with the TypeError.

--- a/skylarkfold/platform/_answer_decoder.py
+++ b/skylarkfold/platform/_answer_decoder.py
@@ -64,18 +64,21 @@
         name = _answer_parser.EVENTS if is_watch else _answer_parser.ITEMS
         values = fields.get_list(name)
         if parsed.damaged is not None:
-            read = self._read_damaged_watch
-            if not is_watch:
-                read = self._read_damaged_page
+            if is_watch != (self._call.revision is not None):
+                raise errors.DecodeError('a damaged answer to another call')
+            read = self._read_damaged_page
+            if is_watch:
+                read = self._read_damaged_watch
             return read(values, parsed.damaged, revision)
         if is_watch:
             items = self._read_all(values, self._read_event)
             return relay.Answer(relay.Status.OK, items, revision)
         items = self._read_all(values, self._read_object)
-        names = _list_names(values)
+        first = _list_names(values[:1])
         if not fields.is_set('truncated'):
-            return self._build_page(items, revision, names[:1])
-        return self._build_page(items, revision, names[:1], names[-1:])
+            return self._build_page(items, revision, first)
+        last = _list_names(values)[-1:]
+        return self._build_page(items, revision, first, last)
 
     def _read_damaged_watch(
         self,
@@ -127,7 +130,8 @@
         )
         if self._call.is_cautious or not is_plausible:
             # The damaged object may look like several.
-            values, names, damaged_names = values[:1], names[:1], []
+            values, damaged_names = values[:1], []
+            names = _list_names(values)
         items = self._read_all(values, self._read_object)
         page = self._build_page(items, revision, names[:1], names[-1:])
         page.next_path = damaged_names[0] if damaged_names else ''
--- a/skylarkfold/tests/platform/test_damaged_entries.py
+++ b/skylarkfold/tests/platform/test_damaged_entries.py
@@ -19,6 +19,7 @@
 from skylarkfold.platform import _objects
 from skylarkfold.platform import _store
 from skylarkfold import relay
+from skylarkfold import revision as revisions
 from skylarkfold.tests.platform import raw_store
 from skylarkfold.tests.platform import test_objects
 
@@ -372,6 +373,32 @@
         answer = _store._decode(call, 200, body.list())
         self.assertEqual(relay.Status.MALFORMED, answer.status)
 
+    def test_an_object_after_one_without_a_name_is_not_left_out(self):
+        store = raw_store.RawStore()
+        store.put(GOOD, ENTRY)
+        store.put(BAD, b'{"note":"')
+        body = store.list().replace(b'[{', b'[null,{', 1)
+        answer = decode(body)
+        self.assertEqual(relay.Status.MALFORMED, answer.status)
+        # Of events the first one is used alone.
+        body = store.list_events(1).replace(b'[{', b'[null,{', 1)
+        call = relay.Call('servers', revisions.Revision(1), '', 1.0, 1.5)
+        answer = _store._decode(call, 200, body)
+        self.assertEqual(relay.Status.MALFORMED, answer.status)
+
+    def test_a_damaged_answer_to_another_call_is_malformed(self):
+        # Guards against a position beyond objects that were not read.
+        store = raw_store.RawStore()
+        store.put(GOOD, ENTRY)
+        store.put(BAD, b'{"note":"')
+        watch = relay.Call('servers', revisions.Revision(1), '', 1.0, 1.5)
+        for body, call in (
+            (store.list(), watch),
+            (store.list_events(1), relay.Call('servers', None, '', 0.0, 1.0)),
+        ):
+            answer = _store._decode(call, 200, body)
+            self.assertEqual(relay.Status.MALFORMED, answer.status)
+
     def test_only_text_of_the_store_ends_a_damaged_answer(self):
         store = raw_store.RawStore()
         store.put(BAD, b'{}}' + END)
