Store: a damaged entry that is rewritten doesn't end confirmation

A writer that renews such an entry more often than a watch lasts would have let the age of the upstreams grow without end, until all instances call the store for themselves; and each damaged event of a burst took a call.

An event whose revision is that of the store is the last one, so that its answer confirms as any other. After 16 answers in a row that others follow, the objects are listed, after the usual pause.

--- a/skylarkfold/platform/_answer_decoder.py
+++ b/skylarkfold/platform/_answer_decoder.py
@@ -100,8 +100,10 @@
             item = self._read_damaged(damaged)
         if not self._call.revision < item.revision <= revision:
             raise errors.DecodeError('the revision of an event is not valid')
+        # An event of the store's own revision is the last one.
+        is_truncated = item.revision < revision
         return relay.Answer(
-            relay.Status.OK, [item], item.revision, is_truncated=True
+            relay.Status.OK, [item], item.revision, is_truncated
         )
 
     def _read_damaged_page(
--- a/skylarkfold/relay/_store_reader.py
+++ b/skylarkfold/relay/_store_reader.py
@@ -13,6 +13,8 @@
 # of a damaged object were taken for objects. One may be due to a write between
 # two pages.
 _MAX_MISMATCHES = 2
+# After so many truncated answers in a row a listing takes fewer calls.
+_MAX_TRUNCATED_ANSWERS = 16
 
 
 class StoreUpdate:
@@ -81,6 +83,7 @@
         '_next_path',
         '_settings',
         '_topic',
+        '_truncated_answers',
         'answered_at',
         'called_at',
         'was_held',
@@ -119,6 +122,8 @@
         self._next_path = ''
         # Listings in a row with a page that didn't begin as it had to.
         self._mismatches = 0
+        # Answers to watches in a row after which further changes are known.
+        self._truncated_answers = 0
 
     @property
     def is_calling(self) -> bool:
@@ -243,10 +248,12 @@
             return None
         self._backoff.record_success()
         if answer.is_truncated:
+            self._limit_truncated_answers(now)
             # Further changes are known to exist, so nothing is confirmed.
             return StoreUpdate(
                 answer.items, answer.revision, False, _NEVER, _NEVER
             )
+        self._truncated_answers = 0
         waited = now - self.called_at
         if answer.items:
             self._next_call_at = now + self._settings.gather_seconds
@@ -260,6 +267,14 @@
             answer.items, answer.revision, False, now, self.called_at
         )
 
+    def _limit_truncated_answers(self, now: float) -> None:
+        """List all objects if the changes arrive in too many answers."""
+        self._truncated_answers += 1
+        if self._truncated_answers >= _MAX_TRUNCATED_ANSWERS:
+            self._truncated_answers = 0
+            self._needs_listing = True
+            self._next_call_at = now + self._settings.gather_seconds
+
     def _handle_listing_page(
         self, now: float, answer: _store_call.Answer
     ) -> StoreUpdate | None:
--- a/skylarkfold/tests/platform/test_damaged_entries.py
+++ b/skylarkfold/tests/platform/test_damaged_entries.py
@@ -241,9 +241,25 @@
         for beat in range(10):
             self.store.put(BAD, b'{"beat":%d,"note":"' % beat)
             replica.run(READ_SECONDS)
+            # The store goes on confirming what is known.
+            age = replica.core.compute_age(replica.now, 'servers')
+            self.assertLess(age, 1.5 * READ_SECONDS)
         self.assertLessEqual(self.store.calls - before, 20)
         self.assertEqual({'ok'}, set(replica.answers))
 
+    def test_a_burst_of_damaged_events_is_read_in_bounded_calls(self):
+        self.store.put(GOOD, ENTRY)
+        replica = self.start(seconds=2.0)
+        before = self.store.calls
+        for beat in range(500):
+            self.store.put(BAD, b'{"beat":%d,"note":"' % beat)
+        self.store.put(LATER, ENTRY)
+        replica.run(READ_SECONDS)
+        self.assert_read(replica, {GOOD, LATER})
+        self.assertLess(self.store.calls - before, 25)
+        age = replica.core.compute_age(replica.now, 'servers')
+        self.assertLess(age, READ_SECONDS)
+
     def test_a_listing_after_lost_history_reads_the_others(self):
         self.store.put(GOOD, ENTRY)
         self.store.put(LATER, ENTRY)
@@ -263,6 +279,7 @@
             replica.now, 'servers'
         )
         self.store.put(BAD, b'{"note":"')
+        self.store.put(LATER, ENTRY)
         call = relay.Call(
             'servers', replica.core.get_position('servers'), '', 1.0, 1.5
         )
