Relay: a change on a later page of a listing is sent to neighbours

Cause: the position after a listing is the revision of its first page. A change on a later page is known beyond it. The watch from the position returns it again, where it is not new, and the delta for the neighbours held only what was new: they took it for all changes up to the new position.

Change: a topic keeps the objects that it knows beyond its position, and hands them on with the update that reaches them.

--- a/skylarkfold/relay/_topic.py
+++ b/skylarkfold/relay/_topic.py
@@ -56,6 +56,7 @@
     """
 
     __slots__ = (
+        '_ahead',
         '_changed',
         '_events',
         '_has_seen_restore',
@@ -105,6 +106,9 @@
         # Whether this process has seen the store being restored.
         self._has_seen_restore = False
         self._events: list[_effect.RecordEvent] = []
+        # Objects known beyond the position, by path. They stem from the later
+        # pages of a listing.
+        self._ahead: dict[str, _item.Item] = {}
         self.is_complete = False
         self.is_shared = False
         self.confirmed_at = _NEVER
@@ -325,7 +329,11 @@
             self._settings.tombstones, revisions.ZERO
         )
         self.cache.raise_floor(revision)
-        self._put_items(items, True)
+        self._ahead = {
+            each.path: each
+            for each in self._put_items(items, True)
+            if each.revision > revision
+        }
         self.retained.reset(now, known.values(), peer_retained, self.cache)
         self._finish_snapshot([], revision)
         if base != revisions.ZERO:
@@ -439,6 +447,7 @@
     ) -> list[_item.Item]:
         changed = list(changed)
         self.cache.advance(revision)
+        changed += self._take_reached(changed)
         self.is_complete = True
         self.confirmed_before_change = self.confirmed_at
         if changed:
@@ -452,6 +461,29 @@
             )
         return changed
 
+    def _take_reached(self, changed: list[_item.Item]) -> list[_item.Item]:
+        """Return the objects that were known before the position reached them.
+
+        They are changes after the former position, so neighbours at that
+        position need them as well.
+
+        :param changed: the objects that are new here.
+        :returns: the objects that the position has reached.
+        """
+        for each in changed:
+            self._ahead.pop(each.path, None)
+        reached = [
+            each
+            for each in self._ahead.values()
+            if each.revision <= self.position
+        ]
+        for each in reached:
+            del self._ahead[each.path]
+        for each in changed:
+            if each.revision > self.position:
+                self._ahead[each.path] = each
+        return reached
+
     def _record_retained(self) -> None:
         names = [each.item.path for each in self.retained.list_all()]
         if names:
