--- a/skylarkfold/tests/relay/test_listing_pages.py
+++ b/skylarkfold/tests/relay/test_listing_pages.py
@@ -4,8 +4,8 @@
 instance lacked a change for good, though its neighbour that watches the store
 had it. The cause: a later page holds a change beyond the listing's revision;
 the watch returns it again, where it is known already, and the neighbours got
-only what was new to the watcher. The proof: the delta that follows the listing's
-revision without that change.
+only what was new to the watcher. The proof: the delta that follows the
+listing's revision lacks that change.
 """
 
 import testtools
